--- /dev/null
+++ b/Libraries/LibControl/record_codec.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "LibControl/control_state.h"
+#include "LibControl/records.h"
+#include "LibCore/error.h"
+
+namespace sassafrasbay {
+
+std::string EncodeRecord(const Record& record);
+
+/// Errors: kMalformed for anything that isn't a record, kUnsupportedVersion for newer rules.
+Result<Record> DecodeRecord(std::string_view bytes);
+
+std::string EncodeState(const ControlState& state);
+Result<ControlState> DecodeState(std::string_view bytes);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibCore/http_message.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sassafrasbay {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest {
+  std::string method_;
+  std::string path_;  ///< With the query.
+  HeaderList headers_;
+  std::string body_;
+};
+
+struct HttpResponse {
+  int status_ = 0;
+  HeaderList headers_;
+  std::string body_;
+};
+
+/// Value of the first header of that name, compared without case; empty when absent.
+std::string_view FindHeader(const HeaderList& headers, std::string_view name);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibRouting/retry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+#include <random>
+
+#include "LibConfiguration/routing_configuration.h"
+#include "LibCore/clock.h"
+
+namespace sassafrasbay {
+
+struct RetryTerms {
+  int budget_percent_ = 10;  ///< Retries allowed per successful request, in percent.
+  double reserve_ = 10;      ///< Retries allowed without any traffic; also the cap's floor.
+  milliseconds base_delay_{20};
+  milliseconds max_delay_{250};
+};
+
+/// Token bucket filled by successful requests.
+struct RetryBudget {
+  RetryTerms terms_;
+  double tokens_ = 0;
+};
+
+RetryBudget MakeRetryBudget(const RetryTerms& terms);
+
+void CountSuccess(RetryBudget& budget);
+
+struct RetryQuestion {
+  RequestKind kind_ = RequestKind::kIdempotent;
+  bool handed_to_upstream_ = false;  ///< A byte may have reached an upstream.
+  bool suspect_ = false;             ///< The request may have crashed an upstream.
+  int attempts_ = 1;
+  BootTime deadline_{};
+};
+
+/// Delay before the next attempt, with full jitter; nothing when it must not be retried. Takes a
+/// token from the budget when it allows the retry.
+std::optional<milliseconds> DecideRetry(RetryBudget& budget, const RetryQuestion& question,
+                                        BootTime now, std::mt19937_64& random);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Meta/format.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Formats all C++ sources in place; with --check it only reports differences and fails on them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = "--check" ] && mode=(--dry-run --Werror)
+git ls-files -co --exclude-standard -- '*.cc' '*.h' | xargs -r clang-format "${mode[@]}"
