--- /dev/null
+++ b/Services/sassafrasbay/ingress.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "LibCore/state_chart.h"
+#include "LibRouting/messages.h"
+#include "LibRouting/routing_snapshot.h"
+#include "LibTransport/http_server.h"
+#include "owner.h"
+#include "traffic_peers.h"
+
+namespace sassafrasbay {
+
+/// The caller's side of a request: classifies it, brings it to the owner of its key, holds it while
+/// there is none, and gives the caller one answer.
+class Ingress {
+ public:
+  Ingress(ReactorLoop& loop, SharedState& shared, const StateChart& chart, Owner& owner,
+          TrafficPeers& peers);
+  Ingress(const Ingress&) = delete;
+  Ingress& operator=(const Ingress&) = delete;
+
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+  void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  bool IsIdle() const { return pending_.empty(); }
+
+ private:
+  struct Pending {
+    std::shared_ptr<HttpExchange> exchange_;
+    ChartPosition position_;
+    Forward forward_;
+    RequestKind kind_ = RequestKind::kIdempotent;
+    BootTime received_at_{};
+    BootTime deadline_{};
+    std::uint64_t peer_number_ = 0;   ///< Open request to a peer.
+    std::uint64_t owner_number_ = 0;  ///< Open request at the own owner side.
+    SessionId sent_to_;
+    /// An attempt ended without a definite answer, so the request may have run.
+    bool maybe_ran_ = false;
+    bool waiting_ = false;  ///< Waits for a snapshot or the next attempt.
+  };
+
+  void Route(std::uint64_t number);
+  void SendTo(std::uint64_t number, const Session& owner);
+  void OnAnswer(std::uint64_t number, RoutedAnswer answer);
+  void OnPeerReply(std::uint64_t number, Result<TrafficMessage> reply);
+  void WaitAndRoute(std::uint64_t number, std::string_view reason);
+  void Respond(std::uint64_t number, RoutedAnswer answer);
+  void Abandon(std::uint64_t number);
+  void Sweep();
+  void Advance(Pending& pending, std::string_view event);
+
+  ReactorLoop& loop_;
+  SharedState& shared_;
+  const StateChart& chart_;
+  Owner& owner_;
+  TrafficPeers& peers_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t next_number_ = 1;
+  std::string node_prefix_;  ///< Makes request ids unique among nodes and restarts.
+  std::mt19937_64 random_;
+};
+
+/// Gives the caller an answer with the header Sassafrasbay-Outcome.
+void RespondWith(HttpExchange& exchange, RoutedAnswer answer);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/operator_api.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibCore/http_message.h"
+#include "LibRouting/routing_snapshot.h"
+#include "owned_units.h"
+#include "owner.h"
+#include "shared_state.h"
+#include "upstream_link.h"
+
+namespace sassafrasbay {
+
+/// The paths below "/-/": announcements of upstreams, and what operators ask.
+class OperatorApi {
+ public:
+  OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units, Owner& owner);
+
+  void SetControlCalls(ControlCalls calls) { control_ = std::move(calls); }
+  void SetUpstreamStarted(std::function<void()> callback) { started_ = std::move(callback); }
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  static bool Owns(const HttpRequest& request) { return request.path_.starts_with("/-/"); }
+  HttpResponse Handle(const HttpRequest& request);
+
+ private:
+  HttpResponse Announce(const HttpRequest& request);
+  HttpResponse Status() const;
+  HttpResponse Explain(const HttpRequest& request) const;
+  HttpResponse RenderMetrics();
+  HttpResponse Drain(const HttpRequest& request);
+
+  SharedState& shared_;
+  const LeaseView& lease_;
+  UpstreamLink& link_;
+  OwnedUnits& units_;
+  Owner& owner_;
+  ControlCalls control_;
+  std::function<void()> started_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/owned_units.cc
@@ -0,0 +1,353 @@
+#include "owned_units.h"
+
+#include <utility>
+
+#include "LibCore/logging.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "units";
+constexpr milliseconds kHandoverTimeout{500};
+constexpr milliseconds kHandoverRetryDelay{100};
+
+std::string Describe(const UnitId& unit, Offset token) {
+  return unit.service_ + "/" + std::to_string(unit.unit_) + " under token " + std::to_string(token);
+}
+
+}  // namespace
+
+OwnedUnits::OwnedUnits(ReactorLoop& loop, SharedState& shared, const StateChart& chart,
+                       UpstreamLink& link, TrafficPeers& peers, RequestCopies& copies,
+                       RequestTable& table)
+    : loop_(loop),
+      shared_(shared),
+      chart_(chart),
+      link_(link),
+      peers_(peers),
+      copies_(copies),
+      table_(table) {}
+
+void OwnedUnits::SetSnapshot(const std::shared_ptr<const RoutingSnapshot>& snapshot) {
+  const bool session_changed = snapshot_ && snapshot_->own_session_ != snapshot->own_session_;
+  snapshot_ = snapshot;
+  if (session_changed) {
+    // A new session inherits nothing, not even a unit that both sessions own by the log.
+    while (!units_.empty()) {
+      Drop(units_.begin()->first, "the session has changed");
+    }
+    released_.clear();
+    early_handovers_.clear();
+  }
+  DropMissing();
+  const Session* own = FindSession(*snapshot_->state_, snapshot_->own_session_);
+  if (own != nullptr) {
+    const auto service = snapshot_->state_->services_.find(own->join_.service_);
+    if (service != snapshot_->state_->services_.end()) {
+      ForEachUnit(service->first, service->second,
+                  [this](const UnitId& id, const Unit& unit) { Synchronize(id, unit); });
+    }
+    units_changed_ = units_changed_ || own->grantors_changed_at_ != grantors_changed_at_;
+    grantors_changed_at_ = own->grantors_changed_at_;
+  }
+  if (units_changed_) {
+    UnitsChanged();
+  }
+}
+
+void OwnedUnits::DropMissing() {
+  std::vector<UnitId> gone;
+  for (const auto& [id, held] : units_) {
+    const Unit* unit = FindUnit(*snapshot_->state_, id);
+    const bool owner = unit != nullptr && unit->owner_ == snapshot_->own_session_ &&
+                       unit->token_ == held.token_;
+    const bool successor = unit != nullptr && unit->move_ &&
+                           unit->move_->to_ == snapshot_->own_session_ &&
+                           unit->move_->token_ == held.token_;
+    if (snapshot_->own_session_.empty() || (!owner && !successor)) {
+      gone.push_back(id);
+    }
+  }
+  for (const UnitId& id : gone) {
+    Drop(id, "the log names another owner or token");
+  }
+}
+
+void OwnedUnits::Synchronize(const UnitId& id, const Unit& unit) {
+  const SessionId& own = snapshot_->own_session_;
+  if (unit.move_ && unit.move_->to_ == own) {
+    const auto early = early_handovers_.find(id);
+    if (early != early_handovers_.end()) {
+      const Handover handover = std::move(early->second);
+      early_handovers_.erase(early);
+      TakeOver(handover);
+    }
+    return;
+  }
+  if (unit.owner_ != own) {
+    return;
+  }
+  const auto released = released_.find(id);
+  if (released != released_.end()) {
+    if (unit.token_ <= released->second) {
+      return;
+    }
+    released_.erase(released);
+  }
+  if (!units_.contains(id)) {
+    Acquire(id, unit);
+  }
+  if (unit.move_ && units_.contains(id)) {
+    StartRelease(id, *unit.move_);
+  }
+}
+
+void OwnedUnits::Acquire(const UnitId& id, const Unit& unit) {
+  OwnedUnit& held = units_[id];
+  held.position_ = StartChart(chart_);
+  held.token_ = unit.token_;
+  units_changed_ = true;
+  if (unit.inherited_from_.empty()) {
+    OpenUnit(table_, id, false, WallNow(), TableTerms());
+    Advance(id, held, "assigned_new");
+    return;
+  }
+  OpenUnit(table_, id, true, WallNow(), TableTerms());
+  Advance(id, held, "assigned");
+  copies_.Recover(
+      unit.inherited_from_, id, unit.inherited_token_,
+      [this, id, token = unit.token_](bool complete, const std::vector<TableEntry>& entries) {
+        const auto found = units_.find(id);
+        if (found == units_.end() || found->second.token_ != token) {
+          return;
+        }
+        AdoptEntries(table_, id, entries, WallNow(), TableTerms());
+        if (complete) {
+          MarkComplete(table_, id);
+        }
+        LogInfo(kPart, "Recovered " + std::to_string(entries.size()) + " request ids of " +
+                           Describe(id, token) + (complete ? ", complete." : ", incomplete."));
+        if (found->second.position_.state_ == "recovering") {
+          Advance(id, found->second, "recovered");
+          AnnounceServing(id, found->second);
+        }
+        units_changed_ = true;
+        UnitsChanged();
+      });
+}
+
+void OwnedUnits::StartRelease(const UnitId& id, const PendingMove& move) {
+  OwnedUnit& unit = units_.at(id);
+  if (unit.position_.state_ == "releasing") {
+    return;
+  }
+  unit.move_ = move;
+  Advance(id, unit, "move_started");
+  LogInfo(kPart, "Releasing " + Describe(id, unit.token_) + " to " + move.to_ + ".");
+  hooks_.on_unavailable_(id);
+  TryHandover(id);
+}
+
+void OwnedUnits::TryHandover(const UnitId& id) {
+  const auto found = units_.find(id);
+  if (found == units_.end()) {
+    return;
+  }
+  OwnedUnit& unit = found->second;
+  if (unit.position_.state_ != "releasing" || unit.pins_ > 0 || unit.handover_running_) {
+    return;
+  }
+  const BootTime now = BootClock::now();
+  if (unit.unanswered_until_ >= now) {
+    // A request without an answer may still wait in the upstream's socket until it expires.
+    const auto wait = std::chrono::ceil<milliseconds>(unit.unanswered_until_ - now);
+    loop_.StartTimer(wait + milliseconds(1), [this, id] { TryHandover(id); });
+    return;
+  }
+  SendHandover(id, unit);
+}
+
+void OwnedUnits::SendHandover(const UnitId& id, OwnedUnit& unit) {
+  const Session* target = FindSession(*snapshot_->state_, unit.move_->to_);
+  if (target == nullptr) {
+    return;
+  }
+  const auto table = table_.units_.find(id);
+  Handover handover;
+  handover.unit_ = id;
+  handover.token_ = unit.move_->token_;
+  handover.complete_ = table != table_.units_.end() && !table->second.unknown_until_;
+  handover.entries_ = EntriesOf(id);
+  unit.handover_running_ = true;
+  // From here on the target may serve, whether or not its confirmation arrives.
+  released_[id] = unit.move_->token_;
+  peers_.Request(target->join_.traffic_address_, std::move(handover), kHandoverTimeout,
+                 [this, id, token = unit.move_->token_](const Result<TrafficMessage>& reply) {
+                   const auto found = units_.find(id);
+                   if (found == units_.end() || !found->second.move_ ||
+                       found->second.move_->token_ != token) {
+                     return;
+                   }
+                   found->second.handover_running_ = false;
+                   if (reply) {
+                     FinishRelease(id, token);
+                     return;
+                   }
+                   LogWarning(kPart, "Hand-over is not confirmed: " + ToString(reply.error()));
+                   loop_.StartTimer(kHandoverRetryDelay, [this, id] { TryHandover(id); });
+                 });
+}
+
+void OwnedUnits::FinishRelease(const UnitId& id, Offset token) {
+  Advance(id, units_.at(id), "released");
+  LogInfo(kPart, "Released " + Describe(id, token) + ".");
+  CloseUnit(table_, id);
+  units_.erase(id);
+  UnitsChanged();
+}
+
+void OwnedUnits::OnHandover(ConnectionId connection, const Handover& handover) {
+  const auto held = units_.find(handover.unit_);
+  if (held != units_.end() && held->second.token_ == handover.token_) {
+    peers_.Reply(connection, HandoverConfirm{handover.number_});
+    return;
+  }
+  if (!snapshot_ || snapshot_->state_->next_offset_ <= handover.token_) {
+    early_handovers_[handover.unit_] = handover;
+    peers_.Reply(connection, HandoverConfirm{handover.number_});
+    return;
+  }
+  if (TakeOver(handover)) {
+    peers_.Reply(connection, HandoverConfirm{handover.number_});
+    UnitsChanged();
+  }
+}
+
+bool OwnedUnits::TakeOver(const Handover& handover) {
+  const UnitId& id = handover.unit_;
+  const Unit* unit = FindUnit(*snapshot_->state_, id);
+  if (unit == nullptr || !unit->move_ || unit->move_->token_ != handover.token_ ||
+      unit->move_->to_ != snapshot_->own_session_) {
+    return false;
+  }
+  OwnedUnit& held = units_[id];
+  held = OwnedUnit{};
+  held.position_ = StartChart(chart_);
+  held.token_ = handover.token_;
+  OpenUnit(table_, id, !handover.complete_, WallNow(), TableTerms());
+  AdoptEntries(table_, id, handover.entries_, WallNow(), TableTerms());
+  Advance(id, held, "handed_over");
+  units_changed_ = true;
+  LogInfo(kPart, "Took over " + Describe(id, held.token_) + " with " +
+                     std::to_string(handover.entries_.size()) + " request ids.");
+  control_.moves_taken_over_({CompletedMove{id, handover.token_}});
+  return true;
+}
+
+OwnedUnits::Availability OwnedUnits::Check(const UnitId& unit) const {
+  const auto found = units_.find(unit);
+  if (found == units_.end() || found->second.position_.state_ == "releasing") {
+    return Availability::kElsewhere;
+  }
+  if (found->second.position_.state_ != "serving" || !link_.IsGranted(unit, found->second.token_)) {
+    return Availability::kStarting;
+  }
+  return Availability::kServing;
+}
+
+Offset OwnedUnits::TokenOf(const UnitId& unit) const {
+  const auto found = units_.find(unit);
+  return found == units_.end() ? 0 : found->second.token_;
+}
+
+Offset OwnedUnits::Pin(const UnitId& unit) {
+  OwnedUnit& held = units_.at(unit);
+  ++held.pins_;
+  return held.token_;
+}
+
+void OwnedUnits::Unpin(const UnitId& unit, Offset token, BootTime unanswered_until) {
+  const auto found = units_.find(unit);
+  if (found == units_.end() || found->second.token_ != token || found->second.pins_ == 0) {
+    return;
+  }
+  --found->second.pins_;
+  found->second.unanswered_until_ = std::max(found->second.unanswered_until_, unanswered_until);
+  TryHandover(unit);
+}
+
+void OwnedUnits::OnGranted() {
+  for (auto& [id, unit] : units_) {
+    AnnounceServing(id, unit);
+  }
+}
+
+void OwnedUnits::Drop(const UnitId& id, std::string_view reason) {
+  const auto found = units_.find(id);
+  LogInfo(kPart, "Dropped " + Describe(id, found->second.token_) + ": " + std::string(reason) + ".");
+  if (found->second.position_.state_ != "absent") {
+    Advance(id, found->second, "lost");
+  }
+  CloseUnit(table_, id);
+  units_.erase(found);
+  units_changed_ = true;
+  hooks_.on_unavailable_(id);
+}
+
+void OwnedUnits::Advance(const UnitId& id, OwnedUnit& unit, std::string_view event) {
+  if (auto fired = Fire(unit.position_, event); !fired) {
+    LogError(kPart, Describe(id, unit.token_) + ": " + ToString(fired.error()));
+  }
+}
+
+void OwnedUnits::AnnounceServing(const UnitId& id, OwnedUnit& unit) {
+  if (unit.announced_ || unit.position_.state_ != "serving" ||
+      !link_.IsGranted(id, unit.token_)) {
+    return;
+  }
+  unit.announced_ = true;
+  hooks_.on_serving_(id);
+}
+
+void OwnedUnits::UnitsChanged() {
+  units_changed_ = false;
+  std::map<UnitId, Offset> tokens;
+  std::vector<std::pair<UnitId, Offset>> covered;
+  std::vector<TableEntry> entries;
+  for (const auto& [id, unit] : units_) {
+    tokens.emplace(id, unit.token_);
+    const auto table = table_.units_.find(id);
+    if (table == table_.units_.end() || table->second.unknown_until_) {
+      continue;  // An incomplete table must not pass for a complete one at the next takeover.
+    }
+    covered.emplace_back(id, unit.token_);
+  }
+  for (const auto& [id, unit] : units_) {
+    const std::vector<TableEntry> of_unit = EntriesOf(id);
+    entries.insert(entries.end(), of_unit.begin(), of_unit.end());
+  }
+  link_.SetUnits(std::move(tokens));
+  copies_.CopyAll(covered, entries);
+  for (auto& [id, unit] : units_) {
+    AnnounceServing(id, unit);
+  }
+}
+
+std::vector<TableEntry> OwnedUnits::EntriesOf(const UnitId& id) const {
+  std::vector<TableEntry> entries;
+  const auto table = table_.units_.find(id);
+  if (table == table_.units_.end()) {
+    return entries;
+  }
+  entries.reserve(table->second.entries_.size());
+  for (const auto& [key, entry] : table->second.entries_) {
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+RequestTableTerms OwnedUnits::TableTerms() const {
+  return {shared_.settings_.clock_allowance_, shared_.settings_.request_table_retention_};
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/owned_units.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/state_chart.h"
+#include "LibRouting/request_table.h"
+#include "LibRouting/routing_snapshot.h"
+#include "request_copies.h"
+#include "traffic_peers.h"
+#include "upstream_link.h"
+
+namespace sassafrasbay {
+
+/// The units this node owns: acquires, recovers, releases and loses them as the log says.
+class OwnedUnits {
+ public:
+  struct Hooks {
+    std::function<void(const UnitId&)> on_serving_;  ///< Requests for the unit may run now.
+    /// The unit is gone or being released: requests that wait for it go elsewhere.
+    std::function<void(const UnitId&)> on_unavailable_;
+  };
+
+  enum class Availability {
+    kServing,
+    kStarting,  ///< Owned, but its table or its grant is not there yet.
+    kElsewhere,
+  };
+
+  OwnedUnits(ReactorLoop& loop, SharedState& shared, const StateChart& chart, UpstreamLink& link,
+             TrafficPeers& peers, RequestCopies& copies, RequestTable& table);
+  OwnedUnits(const OwnedUnits&) = delete;
+  OwnedUnits& operator=(const OwnedUnits&) = delete;
+
+  void SetHooks(Hooks hooks) { hooks_ = std::move(hooks); }
+  void SetControlCalls(ControlCalls calls) { control_ = std::move(calls); }
+  void SetSnapshot(const std::shared_ptr<const RoutingSnapshot>& snapshot);
+
+  Availability Check(const UnitId& unit) const;
+
+  /// Token under which the unit is held; 0 when it isn't.
+  Offset TokenOf(const UnitId& unit) const;
+
+  /// Counts a request that holds the unit until Unpin with the returned token.
+  Offset Pin(const UnitId& unit);
+
+  /// Ends the hold. `unanswered_until` is the expiry of a request that got no answer and may still
+  /// run in the upstream: the unit is not released before.
+  void Unpin(const UnitId& unit, Offset token, BootTime unanswered_until);
+
+  void OnHandover(ConnectionId connection, const Handover& handover);
+
+  /// Called when the upstream has confirmed changed grants.
+  void OnGranted();
+
+  std::size_t Count() const { return units_.size(); }
+
+ private:
+  struct OwnedUnit {
+    ChartPosition position_;
+    Offset token_ = 0;
+    std::uint32_t pins_ = 0;
+    BootTime unanswered_until_{};
+    std::optional<PendingMove> move_;
+    bool handover_running_ = false;
+    bool announced_ = false;  ///< on_serving_ has been called.
+  };
+
+  void Synchronize(const UnitId& id, const Unit& unit);
+  void Acquire(const UnitId& id, const Unit& unit);
+  void StartRelease(const UnitId& id, const PendingMove& move);
+  void TryHandover(const UnitId& id);
+  void SendHandover(const UnitId& id, OwnedUnit& unit);
+  void FinishRelease(const UnitId& id, Offset token);
+  bool TakeOver(const Handover& handover);
+  void Drop(const UnitId& id, std::string_view reason);
+  void DropMissing();
+  void Advance(const UnitId& id, OwnedUnit& unit, std::string_view event);
+  void AnnounceServing(const UnitId& id, OwnedUnit& unit);
+  void UnitsChanged();
+  std::vector<TableEntry> EntriesOf(const UnitId& id) const;
+  RequestTableTerms TableTerms() const;
+
+  ReactorLoop& loop_;
+  SharedState& shared_;
+  const StateChart& chart_;
+  UpstreamLink& link_;
+  TrafficPeers& peers_;
+  RequestCopies& copies_;
+  RequestTable& table_;
+  Hooks hooks_;
+  ControlCalls control_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  std::map<UnitId, OwnedUnit> units_;
+  std::map<UnitId, Offset> released_;  ///< Move tokens under which units were handed over.
+  std::map<UnitId, Handover> early_handovers_;  ///< Received before their move was read.
+  Offset grantors_changed_at_ = 0;
+  bool units_changed_ = false;
+};
+
+/// Calls `visit(id, unit)` for every shard and key override of a service.
+template <typename Visitor>
+void ForEachUnit(const std::string& name, const ServiceState& service, Visitor visit) {
+  for (std::uint32_t index = 0; index < service.shards_.size(); ++index) {
+    visit(UnitId{name, index}, service.shards_[index]);
+  }
+  for (const auto& [key_hash, item] : service.overrides_) {
+    visit(UnitId{name, item.unit_}, item.ownership_);
+  }
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/owner.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "LibRouting/admission.h"
+#include "LibRouting/classify.h"
+#include "LibRouting/crash_suspects.h"
+#include "LibRouting/messages.h"
+#include "LibRouting/request_table.h"
+#include "LibRouting/retry.h"
+#include "load_meter.h"
+#include "owned_units.h"
+#include "upstream_link.h"
+
+namespace sassafrasbay {
+
+/// Status of a not-run answer that says "another node owns this unit": the ingress routes again.
+inline constexpr int kMisdirectedStatus = 421;
+
+using AnswerHandler = std::function<void(RoutedAnswer)>;
+
+/// The owner's side of a request: ownership, request table, admission, hand-over to the upstream.
+class Owner {
+ public:
+  Owner(ReactorLoop& loop, SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units,
+        RequestCopies& copies, RequestTable& table, TrafficPeers& peers);
+  Owner(const Owner&) = delete;
+  Owner& operator=(const Owner&) = delete;
+
+  void SetControlCalls(ControlCalls calls) { control_ = std::move(calls); }
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  /// Takes a request; `reply` runs exactly once, possibly before Handle returns, unless the request
+  /// is cancelled. Returns its number.
+  std::uint64_t Handle(Forward forward, AnswerHandler reply);
+
+  /// The caller left or its deadline passed. A binding request that may have reached the upstream
+  /// goes on, so that its outcome is known when its id is asked for again.
+  void Cancel(std::uint64_t number);
+
+  void OnSuspect(const Suspect& suspect);
+  void OnUpstreamStarted();
+  void OnUpstreamLost();
+
+  /// Refuses further work; requests already taken are finished.
+  void StopOwning();
+
+  void OnUnitServing(const UnitId& unit);
+  void OnUnitUnavailable(const UnitId& unit);
+
+  bool IsIdle() const { return active_.empty(); }
+  const Admission& CurrentAdmission() const { return admission_; }
+  const LoadMeter& Load() const { return load_; }
+
+ private:
+  enum class Stage { kHeld, kQueued, kCopying, kHandedOver, kRetryDelay, kRecording };
+
+  struct Active {
+    Forward forward_;
+    AnswerHandler reply_;
+    RequestKind kind_ = RequestKind::kIdempotent;
+    int worth_ = 1;
+    std::uint64_t fingerprint_ = 0;
+    BootTime deadline_{};
+    Stage stage_ = Stage::kHeld;
+    bool pinned_ = false;
+    Offset token_ = 0;
+    bool admitted_ = false;
+    bool in_table_ = false;
+    bool recorded_ = false;  ///< The table has the outcome.
+    int attempts_ = 0;
+    BootTime handed_over_at_{};
+    BootTime expiry_{};  ///< Of the latest hand-over.
+    BootTime unanswered_until_{};
+    HttpClient::CallId call_ = 0;
+  };
+
+  using TableKey = std::pair<UnitId, std::string>;
+
+  void Start(std::uint64_t number);
+  bool EnterTable(std::uint64_t number, Active& active);
+  void Admit(std::uint64_t number);
+  void Prepare(std::uint64_t number);
+  void HandOver(std::uint64_t number);
+  HttpRequest UpstreamRequest(const Active& active, BootTime expiry, BootTime now) const;
+  void OnResult(std::uint64_t number, const HttpResult& result);
+  void OnLostAnswer(std::uint64_t number, const Error& error, bool maybe_sent);
+  void RetryOrFail(std::uint64_t number, const Error& error);
+  void CheckCrash(std::uint64_t number, const Error& error);
+  void RecordSuspects(std::span<const std::pair<std::uint64_t, Error>> candidates);
+  void EndCall(Active& active, ServiceResult result, bool answered);
+  void Complete(std::uint64_t number, RoutedAnswer answer);
+  void Record(std::uint64_t number, const RoutedAnswer& answer);
+  void Replay(std::uint64_t number, const RoutedAnswer& answer);
+  void CopyOutcome(std::uint64_t number, const RoutedAnswer& answer);
+  void FinishInTable(Active& active, const RoutedAnswer& answer);
+  void Deliver(std::uint64_t number, const RoutedAnswer& answer);
+  void Refuse(std::uint64_t number, int status, std::string_view reason);
+  void RunNext();
+  void Sweep();
+  void TryWithdraw();
+  void MeasureLoad();
+  RequestTableTerms TableTerms() const;
+
+  ReactorLoop& loop_;
+  SharedState& shared_;
+  const LeaseView& lease_;
+  UpstreamLink& link_;
+  OwnedUnits& units_;
+  RequestCopies& copies_;
+  RequestTable& table_;
+  TrafficPeers& peers_;
+  ControlCalls control_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  Admission admission_;
+  RetryBudget retries_;
+  CrashSuspects suspects_;
+  LoadMeter load_;
+  std::mt19937_64 random_;
+  std::map<std::uint64_t, Active> active_;
+  std::map<TableKey, std::vector<AnswerHandler>> waiters_;
+  std::vector<std::pair<std::uint64_t, Error>> crash_candidates_;
+  bool stopped_ = false;
+  bool withdrawing_ = false;
+  BootTime unanswered_until_{};  ///< Latest expiry of any request that got no answer.
+  std::uint64_t next_number_ = 1;
+};
+
+RoutedAnswer NotRun(int status, std::string_view reason);
+RoutedAnswer Unknown(std::string_view reason);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/request_copies.cc
@@ -0,0 +1,209 @@
+#include "request_copies.h"
+
+#include <algorithm>
+
+namespace sassafrasbay {
+namespace {
+
+/// Three round trips between data centres with a loaded peer; a slower grantor counts as absent.
+constexpr milliseconds kCopyTimeout{250};
+constexpr milliseconds kRecoveryTimeout{400};
+
+struct PendingCopy {
+  std::size_t outstanding_ = 0;
+  std::function<void(bool)> done_;
+};
+
+void OnCopyReply(PendingCopy& pending, bool confirmed) {
+  --pending.outstanding_;
+  if (!pending.done_ || (!confirmed && pending.outstanding_ > 0)) {
+    return;
+  }
+  const auto done = std::exchange(pending.done_, nullptr);
+  done(confirmed);
+}
+
+}  // namespace
+
+RequestCopies::RequestCopies(TrafficPeers& peers, SharedState& shared)
+    : peers_(peers), shared_(shared) {}
+
+void RequestCopies::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  snapshot_ = std::move(snapshot);
+}
+
+void RequestCopies::Copy(const TableEntry& entry, std::function<void(bool)> done) {
+  const std::vector<std::string> addresses = GrantorAddresses();
+  if (addresses.empty()) {
+    done(true);
+    return;
+  }
+  auto pending = std::make_shared<PendingCopy>(PendingCopy{addresses.size(), std::move(done)});
+  for (const std::string& address : addresses) {
+    shared_.metrics_.Count("sassafrasbay_request_copies_total");
+    peers_.Request(address, CopyEntry{0, snapshot_->own_session_, entry}, kCopyTimeout,
+                   [pending](const Result<TrafficMessage>& reply) {
+                     OnCopyReply(*pending, reply.has_value());
+                   });
+  }
+}
+
+void RequestCopies::CopyAll(const std::vector<std::pair<UnitId, Offset>>& units,
+                            const std::vector<TableEntry>& entries) {
+  const Session* own = FindSession(*snapshot_->state_, snapshot_->own_session_);
+  if (own == nullptr) {
+    return;
+  }
+  for (const std::string& address : GrantorAddresses()) {
+    CopyTable table{0, own->join_.session_, own->grantors_changed_at_, units, entries};
+    peers_.Request(address, std::move(table), milliseconds(0), [](const auto&) {});
+  }
+}
+
+struct RequestCopies::Recovery {
+  std::size_t outstanding_ = 0;
+  bool complete_ = true;
+  Offset grantors_changed_at_ = 0;
+  std::map<std::string, TableEntry> entries_;
+  std::function<void(bool, std::vector<TableEntry>)> done_;
+
+  void Add(const TableReply& reply) {
+    complete_ = complete_ && reply.complete_ && reply.grantors_changed_at_ >= grantors_changed_at_;
+    for (const TableEntry& entry : reply.entries_) {
+      const auto [found, inserted] = entries_.emplace(entry.id_, entry);
+      if (!inserted && entry.phase_ == EntryPhase::kDone) {
+        found->second = entry;
+      }
+    }
+  }
+
+  void Finish() {
+    if (--outstanding_ > 0) {
+      return;
+    }
+    std::vector<TableEntry> entries;
+    entries.reserve(entries_.size());
+    for (auto& [id, entry] : entries_) {
+      entries.push_back(std::move(entry));
+    }
+    done_(complete_, std::move(entries));
+  }
+};
+
+void RequestCopies::Recover(const SessionId& ended, const UnitId& unit, Offset token,
+                            std::function<void(bool, std::vector<TableEntry>)> done) {
+  auto recovery = std::make_shared<Recovery>();
+  recovery->done_ = std::move(done);
+  const auto found = snapshot_->state_->ended_.find(ended);
+  if (found == snapshot_->state_->ended_.end() || found->second.grantors_.empty()) {
+    recovery->done_(false, {});
+    return;
+  }
+  recovery->grantors_changed_at_ = found->second.grantors_changed_at_;
+  recovery->outstanding_ = found->second.grantors_.size();
+  for (const SessionId& grantor : found->second.grantors_) {
+    const Session* session = FindSession(*snapshot_->state_, grantor);
+    if (session == nullptr) {
+      recovery->complete_ = false;
+      recovery->Finish();
+      continue;
+    }
+    peers_.Request(session->join_.traffic_address_, TableRequest{0, ended, {{unit, token}}},
+                   kRecoveryTimeout, [recovery](const Result<TrafficMessage>& reply) {
+                     const auto* table =
+                         reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
+                     if (table != nullptr) {
+                       recovery->Add(*table);
+                     } else {
+                       recovery->complete_ = false;
+                     }
+                     recovery->Finish();
+                   });
+  }
+}
+
+std::vector<std::string> RequestCopies::GrantorAddresses() const {
+  std::vector<std::string> addresses;
+  const Session* own =
+      snapshot_ ? FindSession(*snapshot_->state_, snapshot_->own_session_) : nullptr;
+  if (own == nullptr) {
+    return addresses;
+  }
+  for (const GrantorLink& link : own->grantors_) {
+    const Session* grantor = FindSession(*snapshot_->state_, link.grantor_);
+    if (grantor != nullptr) {
+      addresses.push_back(grantor->join_.traffic_address_);
+    }
+  }
+  return addresses;
+}
+
+void CopyStore::Store(const CopyEntry& copy, BootTime now) {
+  Table& table = tables_[copy.session_];
+  table.stored_at_ = now;
+  auto& entries = table.entries_[copy.entry_.unit_];
+  const bool not_run = copy.entry_.phase_ == EntryPhase::kDone &&
+                       copy.entry_.answer_.outcome_ == Outcome::kNotRun;
+  if (not_run) {
+    entries.erase(copy.entry_.id_);
+    return;
+  }
+  entries[copy.entry_.id_] = copy.entry_;
+}
+
+void CopyStore::Store(const CopyTable& table, BootTime now) {
+  Table fresh;
+  fresh.stored_at_ = now;
+  fresh.grantors_changed_at_ = table.grantors_changed_at_;
+  fresh.units_.insert(table.units_.begin(), table.units_.end());
+  for (const TableEntry& entry : table.entries_) {
+    fresh.entries_[entry.unit_][entry.id_] = entry;
+  }
+  tables_[table.session_] = std::move(fresh);
+}
+
+TableReply CopyStore::Find(const TableRequest& request) const {
+  TableReply reply;
+  reply.number_ = request.number_;
+  reply.session_ = request.session_;
+  const auto found = tables_.find(request.session_);
+  if (found == tables_.end()) {
+    return reply;
+  }
+  const Table& table = found->second;
+  reply.grantors_changed_at_ = table.grantors_changed_at_;
+  reply.complete_ = true;
+  for (const auto& [unit, token] : request.units_) {
+    const auto covered = table.units_.find(unit);
+    reply.complete_ =
+        reply.complete_ && covered != table.units_.end() && covered->second == token;
+    const auto entries = table.entries_.find(unit);
+    if (entries == table.entries_.end()) {
+      continue;
+    }
+    for (const auto& [id, entry] : entries->second) {
+      reply.entries_.push_back(entry);
+    }
+  }
+  return reply;
+}
+
+void CopyStore::Prune(const ControlState& state, milliseconds retention, BootTime now) {
+  // A table may arrive before this node has read that its session joined, so an unknown session is
+  // no reason to drop it.
+  std::erase_if(tables_, [&state, retention, now](const auto& item) {
+    return !state.sessions_.contains(item.first) && item.second.stored_at_ + retention < now;
+  });
+}
+
+std::size_t CopyStore::EntryCount() const {
+  std::size_t count = 0;
+  for (const auto& [session, table] : tables_) {
+    for (const auto& [unit, entries] : table.entries_) {
+      count += entries.size();
+    }
+  }
+  return count;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/request_copies.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibRouting/messages.h"
+#include "LibRouting/routing_snapshot.h"
+#include "traffic_peers.h"
+
+namespace sassafrasbay {
+
+/// The owner's side of the copies: sends entries and whole tables to the session's grantors, and
+/// recovers the tables of a session that has ended.
+class RequestCopies {
+ public:
+  RequestCopies(TrafficPeers& peers, SharedState& shared);
+
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  /// Copies one entry. `done` gets true as soon as one grantor has confirmed it or when the session
+  /// has no grantor, false when none did.
+  void Copy(const TableEntry& entry, std::function<void(bool)> done);
+
+  /// Sends the whole table to all grantors.
+  void CopyAll(const std::vector<std::pair<UnitId, Offset>>& units,
+               const std::vector<TableEntry>& entries);
+
+  /// Collects the copies of a unit of an ended session. `done` gets whether they are complete.
+  void Recover(const SessionId& ended, const UnitId& unit, Offset token,
+               std::function<void(bool complete, std::vector<TableEntry>)> done);
+
+ private:
+  struct Recovery;
+
+  std::vector<std::string> GrantorAddresses() const;
+
+  TrafficPeers& peers_;
+  SharedState& shared_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+};
+
+/// The grantor's side: tables held for other sessions.
+class CopyStore {
+ public:
+  void Store(const CopyEntry& copy, BootTime now);
+  void Store(const CopyTable& table, BootTime now);
+  TableReply Find(const TableRequest& request) const;
+  /// Drops tables of sessions that are not active and were last written `retention` ago.
+  void Prune(const ControlState& state, milliseconds retention, BootTime now);
+  std::size_t EntryCount() const;
+
+ private:
+  struct Table {
+    Offset grantors_changed_at_ = 0;
+    BootTime stored_at_{};
+    std::map<UnitId, Offset> units_;
+    std::map<UnitId, std::map<std::string, TableEntry>> entries_;
+  };
+
+  std::map<SessionId, Table> tables_;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/traffic_peers.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "LibRouting/messages.h"
+#include "LibTransport/peer_network.h"
+#include "LibTransport/reactor_loop.h"
+#include "shared_state.h"
+
+namespace sassafrasbay {
+
+/// Request and reply between nodes over one connection per peer address.
+class TrafficPeers {
+ public:
+  /// The reply, or the error of the connection. Runs once.
+  using ReplyHandler = std::function<void(Result<TrafficMessage>)>;
+  /// A message that is no reply; `connection` is where a reply to it goes.
+  using MessageHandler = std::function<void(ConnectionId connection, TrafficMessage message)>;
+
+  TrafficPeers(ReactorLoop& loop, SharedState& shared);
+  TrafficPeers(const TrafficPeers&) = delete;
+  TrafficPeers& operator=(const TrafficPeers&) = delete;
+
+  Result<void> Listen(MessageHandler handler);
+
+  /// Sends a request under a fresh number. A zero timeout means that only a reply or the loss of
+  /// the connection ends it. Returns the number, with which it can be forgotten.
+  std::uint64_t Request(std::string_view address, TrafficMessage message, milliseconds timeout,
+                        ReplyHandler handler);
+
+  /// Drops the handler of a request; a late reply is counted and dropped.
+  void Forget(std::uint64_t number);
+
+  void Reply(ConnectionId connection, const TrafficMessage& message);
+  void Notify(std::string_view address, const TrafficMessage& message);
+
+ private:
+  struct OpenRequest {
+    ConnectionId connection_ = 0;
+    ReactorLoop::TimerId timer_ = 0;
+    ReplyHandler handler_;
+  };
+
+  ConnectionId ConnectionTo(std::string_view address);
+  void OnFrame(ConnectionId connection, std::string_view frame);
+  void OnClosed(ConnectionId connection, const Error& error);
+  void Finish(std::uint64_t number, Result<TrafficMessage> result);
+
+  ReactorLoop& loop_;
+  SharedState& shared_;
+  MessageHandler handler_;
+  std::unique_ptr<PeerNetwork> network_;
+  std::map<std::string, ConnectionId, std::less<>> by_address_;
+  std::unordered_map<ConnectionId, std::string> addresses_;
+  std::unordered_map<std::uint64_t, OpenRequest> open_;
+  std::uint64_t next_number_ = 1;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/upstream_link.cc
@@ -0,0 +1,207 @@
+#include "upstream_link.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibCore/logging.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "upstream";
+constexpr milliseconds kProbeInterval{100};
+constexpr milliseconds kProbeTimeout{150};
+
+/// Three failures in a row, about 0.6 s with time-outs: fewer would take a pause of a loaded
+/// upstream for its loss.
+constexpr int kFailedProbesUntilLost = 3;
+
+/// Connections kept back from traffic for probes and grants.
+constexpr long kReservedConnections = 4;  // NOLINT(google-runtime-int): libcurl's type
+
+/// Units with the same token and adjacent numbers share one range.
+nlohmann::json GrantRanges(const std::map<UnitId, Offset>& units) {
+  nlohmann::json ranges = nlohmann::json::array();
+  for (const auto& [unit, token] : units) {
+    if (!ranges.empty() && ranges.back()["token"] == token &&
+        ranges.back()["last"] == unit.unit_ - 1) {
+      ranges.back()["last"] = unit.unit_;
+      continue;
+    }
+    ranges.push_back({{"first", unit.unit_}, {"last", unit.unit_}, {"token", token}});
+  }
+  return ranges;
+}
+
+}  // namespace
+
+UpstreamLink::UpstreamLink(ReactorLoop& loop, SharedState& shared, const LeaseView& lease,
+                           const StateChart& health_chart)
+    : loop_(loop), shared_(shared), lease_(lease), health_(StartChart(health_chart)) {
+  probes_ = std::make_unique<HttpClient>(loop_, kReservedConnections);
+  loop_.StartRepeatingTimer(kProbeInterval, [this] { Probe(); });
+  loop_.StartRepeatingTimer(shared_.settings_.heartbeat_, [this] { SendGrants(); });
+}
+
+bool UpstreamLink::Announce(const UpstreamAnnouncement& announcement) {
+  const bool known = announcement_ && announcement_->address_ == announcement.address_ &&
+                     announcement_->service_ == announcement.service_;
+  if (known && health_.state_ != "lost") {
+    announcement_->draining_ = announcement.draining_;
+    return false;
+  }
+  // The chart allows an announcement only from "unknown" and "lost".
+  if (health_.state_ != "unknown" && health_.state_ != "lost") {
+    health_.state_ = "lost";
+  }
+  if (auto fired = Fire(health_, "announced"); !fired) {
+    LogError(kPart, ToString(fired.error()));
+    return false;
+  }
+  announcement_ = announcement;
+  failed_probes_ = 0;
+  granted_.clear();
+  const long connections =  // NOLINT(google-runtime-int): libcurl's type
+      std::max<long>(1, static_cast<long>(announcement.connections_) - kReservedConnections);
+  calls_ = std::make_unique<HttpClient>(loop_, connections);
+  LogInfo(kPart, "Upstream " + announcement.address_ + " of " + announcement.service_ +
+                     " announced itself; it " +
+                     (announcement.checks_grants_ ? "checks grants." : "does not check grants."));
+  return true;
+}
+
+bool UpstreamLink::IsUsable() const {
+  return announcement_ && health_.state_ != "lost" && health_.state_ != "unknown";
+}
+
+bool UpstreamLink::AcceptsRequests() const {
+  return announcement_ && (health_.state_ == "cold" || health_.state_ == "healthy");
+}
+
+void UpstreamLink::SetUnits(std::map<UnitId, Offset> units) {
+  if (units == units_) {
+    return;
+  }
+  units_ = std::move(units);
+  SendGrants();
+}
+
+bool UpstreamLink::IsGranted(const UnitId& unit, Offset token) const {
+  if (!announcement_) {
+    return false;
+  }
+  if (!announcement_->checks_grants_) {
+    return true;
+  }
+  const auto found = granted_.find(unit);
+  return found != granted_.end() && found->second == token;
+}
+
+HttpClient::CallId UpstreamLink::Send(HttpRequest request, milliseconds timeout,
+                                      bool fresh_connection, HttpClient::Callback callback) {
+  HttpCall call;
+  call.base_url_ = BaseUrl();
+  call.request_ = std::move(request);
+  call.timeout_ = timeout;
+  call.fresh_connection_ = fresh_connection;
+  return calls_->Start(std::move(call), std::move(callback));
+}
+
+void UpstreamLink::Cancel(HttpClient::CallId call, std::string_view request_id) {
+  calls_->Cancel(call);
+  HttpCall cancel;
+  cancel.base_url_ = BaseUrl();
+  cancel.request_.method_ = "POST";
+  cancel.request_.path_ = "/-/cancel?request=" + std::string(request_id);
+  cancel.timeout_ = kProbeTimeout;
+  probes_->Start(std::move(cancel), [](const HttpResult&) {});
+}
+
+void UpstreamLink::CheckAlive(std::function<void(bool alive)> callback) {
+  HttpCall call;
+  call.base_url_ = BaseUrl();
+  call.request_ = {"GET", "/-/health", {}, {}};
+  call.timeout_ = kProbeTimeout;
+  call.fresh_connection_ = true;
+  probes_->Start(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
+    callback(result.maybe_sent_ || result.response_.has_value());
+  });
+}
+
+void UpstreamLink::Probe() {
+  if (!IsUsable() || probe_running_) {
+    return;
+  }
+  probe_running_ = true;
+  HttpCall call;
+  call.base_url_ = BaseUrl();
+  call.request_ = {"GET", "/-/health", {}, {}};
+  call.timeout_ = kProbeTimeout;
+  probes_->Start(std::move(call), [this, address = announcement_->address_](HttpResult result) {
+    probe_running_ = false;
+    if (announcement_->address_ == address) {
+      OnProbe(result);
+    }
+  });
+}
+
+void UpstreamLink::OnProbe(const HttpResult& result) {
+  if (result.response_.has_value() && result.response_.value().status_ == 200) {
+    failed_probes_ = 0;
+    if (health_.state_ == "cold") {
+      (void)Fire(health_, "warmed");
+    } else if (health_.state_ == "suspect") {
+      (void)Fire(health_, "succeeded");
+    }
+    return;
+  }
+  ++failed_probes_;
+  if (health_.state_ == "healthy" || health_.state_ == "cold") {
+    (void)Fire(health_, "failed");
+  }
+  // A refused connection means that nothing listens there any more; waiting would not help.
+  const bool refused = !result.response_.has_value() && !result.maybe_sent_;
+  if (refused || failed_probes_ >= kFailedProbesUntilLost) {
+    MarkLost();
+  }
+}
+
+void UpstreamLink::MarkLost() {
+  if (auto fired = Fire(health_, "lost"); !fired) {
+    LogError(kPart, ToString(fired.error()));
+    return;
+  }
+  granted_.clear();
+  shared_.metrics_.Count("sassafrasbay_upstream_losses_total");
+  LogWarning(kPart, "Upstream " + announcement_->address_ + " is lost after " +
+                        std::to_string(failed_probes_) + " failed probes.");
+  hooks_.on_lost_();
+}
+
+void UpstreamLink::SendGrants() {
+  if (!IsUsable() || !announcement_->checks_grants_) {
+    return;
+  }
+  nlohmann::json body;
+  body["service"] = announcement_->service_;
+  body["expires_boottime_ms"] = ToBootMilliseconds(LeaseEnd(lease_));
+  body["units"] = GrantRanges(units_);
+  HttpCall call;
+  call.base_url_ = BaseUrl();
+  call.request_ = {"PUT", "/-/grants", {{"Content-Type", "application/json"}}, body.dump()};
+  call.timeout_ = shared_.settings_.lease_;
+  probes_->Start(std::move(call), [this, units = units_](const HttpResult& result) {
+    if (!result.response_.has_value() || result.response_.value().status_ != 200 || !IsUsable()) {
+      return;
+    }
+    const bool changed = granted_ != units;
+    granted_ = units;
+    if (changed) {
+      hooks_.on_granted_();
+    }
+  });
+}
+
+std::string UpstreamLink::BaseUrl() const { return "http://" + announcement_->address_; }
+
+}  // namespace sassafrasbay
