--- /dev/null
+++ b/Tests/LibCore/test_logging.cc
@@ -0,0 +1,113 @@
+#define BOOST_TEST_MODULE Logging
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <iostream>
+#include <regex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "LibCore/log_rate_bound.h"
+#include "LibCore/logging.h"
+
+namespace sassafrasbay {
+namespace {
+
+/// Collects what is written to std::cerr during its lifetime.
+class CapturedErrorStream {
+ public:
+  CapturedErrorStream() : previous_(std::cerr.rdbuf(stream_.rdbuf())) {}
+  ~CapturedErrorStream() { std::cerr.rdbuf(previous_); }
+  CapturedErrorStream(const CapturedErrorStream&) = delete;
+  CapturedErrorStream& operator=(const CapturedErrorStream&) = delete;
+
+  std::vector<std::string> Lines() const {
+    std::istringstream text(stream_.str());
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(text, line);) {
+      lines.push_back(line);
+    }
+    return lines;
+  }
+
+ private:
+  std::ostringstream stream_;
+  std::streambuf* previous_;
+};
+
+BootTime At(int milliseconds_since_boot) {
+  return BootTime(std::chrono::milliseconds(milliseconds_since_boot));
+}
+
+// Guards against a change of the line format, which operators' tools parse.
+BOOST_AUTO_TEST_CASE(LineHasTimeLevelPartAndMessage) {
+  InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
+  const CapturedErrorStream captured;
+  LogWarning("lease", "lease of 100% ended %msg %level");
+  Log(LogLevel::kDebug, "lease", "below the level");
+  const auto lines = captured.Lines();
+  BOOST_REQUIRE(lines.size() == 1U);
+  const std::regex format(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z WARNING )"
+                          R"(\[lease\] lease of 100% ended %msg %level)");
+  BOOST_TEST(std::regex_match(lines.front(), format), "got: " << lines.front());
+}
+
+// Guards against data from a caller forging a log line.
+BOOST_AUTO_TEST_CASE(LineBreaksAreEscaped) {
+  InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
+  const CapturedErrorStream captured;
+  LogInfo("http", "path /a\r\nINFO [lease] forged");
+  const auto lines = captured.Lines();
+  BOOST_REQUIRE(lines.size() == 1U);
+  BOOST_TEST(lines.front().find("/a\\x0d\\x0aINFO") != std::string::npos);
+}
+
+// Guards against one busy part silencing the others, and against suppressed lines without a trace.
+BOOST_AUTO_TEST_CASE(BoundHoldsForEachPartAndSecond) {
+  LogRateBound bound{.lines_per_second_ = 2};
+  for (const bool expected : {true, true, false, false, false}) {
+    BOOST_TEST(AdmitLine(bound, "routing", At(5000)).write_ == expected);
+  }
+  BOOST_TEST(AdmitLine(bound, "lease", At(5999)).write_);
+  const LineDecision next = AdmitLine(bound, "lease", At(6000));
+  BOOST_TEST(next.write_);
+  BOOST_REQUIRE(next.suppressed_.size() == 1U);
+  BOOST_TEST(next.suppressed_.front().part_ == "routing");
+  BOOST_TEST(next.suppressed_.front().lines_ == 3U);
+  BOOST_TEST(AdmitLine(bound, "routing", At(6001)).suppressed_.empty());
+}
+
+// Guards against a late thread getting a second allowance for a second that has passed.
+BOOST_AUTO_TEST_CASE(EarlierTimeCountsInTheCurrentSecond) {
+  LogRateBound bound{.lines_per_second_ = 1};
+  BOOST_TEST(AdmitLine(bound, "lease", At(7000)).write_);
+  BOOST_TEST(!AdmitLine(bound, "lease", At(6999)).write_);
+  BOOST_TEST(!AdmitLine(bound, "lease", At(7001)).write_);
+}
+
+// Guards against lines that are mixed up or lost when both threads of a node log.
+BOOST_AUTO_TEST_CASE(ConcurrentLinesStayWhole) {
+  InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 100000});
+  const CapturedErrorStream captured;
+  std::vector<std::thread> threads;
+  threads.reserve(4);
+  for (int thread = 0; thread < 4; ++thread) {
+    threads.emplace_back([] {
+      for (int line = 0; line < 100; ++line) {
+        LogInfo("traffic", "one whole line");
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  const auto lines = captured.Lines();
+  BOOST_TEST(lines.size() == 400U);
+  BOOST_TEST(std::all_of(lines.begin(), lines.end(), [](const std::string& line) {
+    return line.ends_with(" INFO [traffic] one whole line");
+  }));
+}
+
+}  // namespace
+}  // namespace sassafrasbay
