--- /dev/null
+++ b/Libraries/LibControl/control_state.cc
@@ -0,0 +1,112 @@
+#include "LibControl/control_state.h"
+
+#include <algorithm>
+
+#include "LibControl/fold.h"
+
+namespace sassafrasbay {
+namespace {
+
+/// Ended sessions are pruned at multiples of this offset, to keep the scan off most records.
+constexpr Offset kPruneInterval = 1024;
+
+// A late duplicate of a SessionJoined is refused either because the session is still remembered
+// here or because the record's based_on_ is too old. So nothing may be pruned before
+// kEndedSessionMemory offsets have passed; pruning later is harmless.
+void Advance(ControlState& state, Offset offset) {
+  state.next_offset_ = offset + 1;
+  if (offset % kPruneInterval == 0) {
+    std::erase_if(state.ended_, [offset](const auto& entry) {
+      return offset - entry.second.ended_at_ > kEndedSessionMemory;
+    });
+  }
+}
+
+}  // namespace
+
+namespace fold {
+
+void Refuse(Step& step, std::string_view reason) {
+  step.verdict_.valid_ = false;
+  step.verdict_.reason_ = reason;
+}
+
+void Accept(Step& step) { step.verdict_.valid_ = true; }
+
+// A checkpoint is read by starting nodes only; for the others it is a no-op.
+void Handle(Step& step, const Checkpoint& /*record*/) { Accept(step); }
+
+}  // namespace fold
+
+Verdict Apply(ControlState& state, Offset offset, const Record& record) {
+  if (offset != state.next_offset_) {
+    return {false, "offset is not the next one", {}};
+  }
+  if (record.rules_version_ != kRulesVersion) {
+    return {false, "unknown rules version", {}};
+  }
+  fold::Step step{state, offset, {}};
+  std::visit([&step](const auto& body) { fold::Handle(step, body); }, record.body_);
+  Advance(state, offset);
+  return std::move(step.verdict_);
+}
+
+void SkipRecord(ControlState& state, Offset offset) {
+  if (offset == state.next_offset_) {
+    Advance(state, offset);
+  }
+}
+
+const Session* FindSession(const ControlState& state, std::string_view session) {
+  const auto found = state.sessions_.find(SessionId(session));
+  return found == state.sessions_.end() ? nullptr : &found->second;
+}
+
+const ServiceSpec* FindService(const RoutingConfiguration& configuration, std::string_view name) {
+  const auto found = std::ranges::find(configuration.services_, name, &ServiceSpec::name_);
+  return found == configuration.services_.end() ? nullptr : &*found;
+}
+
+const Unit* FindUnit(const ControlState& state, const UnitId& unit) {
+  const auto service = state.services_.find(unit.service_);
+  if (service == state.services_.end()) {
+    return nullptr;
+  }
+  if (unit.unit_ < service->second.shards_.size()) {
+    return &service->second.shards_[unit.unit_];
+  }
+  for (const auto& [hash, entry] : service->second.overrides_) {
+    if (entry.unit_ == unit.unit_) {
+      return &entry.ownership_;
+    }
+  }
+  return nullptr;
+}
+
+UnitId UnitOfKey(const ServiceState& service, std::string_view name, std::uint64_t key_hash) {
+  UnitId id{std::string(name), 0};
+  const auto entry = service.overrides_.find(key_hash);
+  if (entry != service.overrides_.end()) {
+    id.unit_ = entry->second.unit_;
+  } else if (!service.shards_.empty()) {
+    id.unit_ = static_cast<std::uint32_t>(key_hash % service.shards_.size());
+  }
+  return id;
+}
+
+std::size_t CountUnits(const ControlState& state, std::string_view session) {
+  const Session* found = FindSession(state, session);
+  if (found == nullptr) {
+    return 0;
+  }
+  const auto service = state.services_.find(found->join_.service_);
+  std::size_t count = 0;
+  if (service != state.services_.end()) {
+    fold::ForEachUnit(service->first, service->second, [&](const UnitId&, const Unit& unit) {
+      count += (unit.move_ ? unit.move_->to_ : unit.owner_) == session ? 1 : 0;
+    });
+  }
+  return count;
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -18,6 +18,9 @@
 /// Offsets for which ended sessions are remembered; an older SessionJoined is void.
 inline constexpr Offset kEndedSessionMemory = 100'000;
 
+/// Bound of the key overrides of a service. A constant, since all nodes must agree on validity.
+inline constexpr std::size_t kMaxOverrides = 64;
+
 struct GrantorLink {
   SessionId grantor_;
   Offset since_ = 0;       ///< Offset of the record that made it a grantor.
@@ -91,12 +94,14 @@
 
 struct Verdict {
   bool valid_ = false;
-  std::string reason_;  ///< Why the record is void; empty when valid.
+  /// Why the record is void, or which parts of a valid record were ignored.
+  std::string reason_;
   std::vector<PlacementDecision> decisions_;
 };
 
 /// Applies the record at `offset`, which must be state.next_offset_. Void records change nothing
-/// but next_offset_. Deterministic.
+/// but next_offset_; a wrong offset or rules version not even that. At fixed offsets, ended
+/// sessions are forgotten. Deterministic.
 Verdict Apply(ControlState& state, Offset offset, const Record& record);
 
 /// Skips a record that can't be decoded.
@@ -109,7 +114,7 @@
 /// Maps a key hash to its unit: its override if there is one, its shard otherwise.
 UnitId UnitOfKey(const ServiceState& service, std::string_view name, std::uint64_t key_hash);
 
-/// Number of units whose owner (or move target) is `session`.
+/// Number of units of `session`; a moving unit counts for its target only.
 std::size_t CountUnits(const ControlState& state, std::string_view session);
 
 }  // namespace sassafrasbay
