LibRouting: Add the message codec

Frames are CBOR maps with short field names. CopyTable gains a flag for completeness: without it, the copy of a table that had lost ids would be taken for a complete one by the next owner, and an id could run twice.

--- a/Libraries/LibRouting/messages.h
+++ b/Libraries/LibRouting/messages.h
@@ -71,6 +71,9 @@
 struct CopyTable {
   std::uint64_t number_ = 0;
   SessionId session_;
+  /// Every covered unit's table holds all ids that ran; without this a successor would take the
+  /// copy of an incomplete table for a complete one.
+  bool complete_ = false;
   Offset grantors_changed_at_ = 0;
   std::vector<std::pair<UnitId, Offset>> units_;  ///< Units covered, with their tokens.
   std::vector<TableEntry> entries_;
--- /dev/null
+++ b/Libraries/LibRouting/traffic_message_codec.cc
@@ -0,0 +1,382 @@
+#include <utility>
+
+#include "LibRouting/cbor_fields.h"
+#include "LibRouting/message_codec.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kStep = "decode traffic message";
+constexpr std::uint64_t kMaxStatus = 999;
+
+/// Values of `t`. They are part of the protocol: new types get new numbers.
+enum class Type : std::uint64_t {
+  kForward = 1,
+  kAnswer = 2,
+  kCancel = 3,
+  kCopyEntry = 4,
+  kCopyTable = 5,
+  kCopyConfirm = 6,
+  kTableRequest = 7,
+  kTableReply = 8,
+  kHandover = 9,
+  kHandoverConfirm = 10,
+  kSuspect = 11,
+};
+
+Cbor Start(Type type, std::uint64_t number) {
+  return {{"t", static_cast<std::uint64_t>(type)}, {"n", number}};
+}
+
+void WriteUnit(Cbor& value, const UnitId& unit) {
+  value["s"] = unit.service_;
+  value["u"] = unit.unit_;
+}
+
+/// Names and values alternate in one array, which needs no array for each header.
+Cbor HeadersToCbor(const HeaderList& headers) {
+  Cbor::array_t items;
+  items.reserve(headers.size() * 2);
+  for (const auto& [name, value] : headers) {
+    items.push_back(Bytes(name));
+    items.push_back(Bytes(value));
+  }
+  return items;
+}
+
+void WriteAnswer(Cbor& value, const RoutedAnswer& answer) {
+  value["o"] = static_cast<std::uint64_t>(answer.outcome_);
+  value["st"] = static_cast<std::uint64_t>(answer.response_.status_);
+  value["h"] = HeadersToCbor(answer.response_.headers_);
+  value["b"] = Bytes(answer.response_.body_);
+  value["r"] = Bytes(answer.reason_);
+}
+
+Cbor EntryToCbor(const TableEntry& entry) {
+  Cbor value = {{"i", Bytes(entry.id_)}, {"f", entry.fingerprint_}};
+  WriteUnit(value, entry.unit_);
+  value["p"] = static_cast<std::uint64_t>(entry.phase_);
+  if (entry.phase_ == EntryPhase::kDone) {
+    WriteAnswer(value, entry.answer_);
+  }
+  return value;
+}
+
+Cbor EntriesToCbor(const std::vector<TableEntry>& entries) {
+  Cbor::array_t items;
+  items.reserve(entries.size());
+  for (const TableEntry& entry : entries) {
+    items.push_back(EntryToCbor(entry));
+  }
+  return items;
+}
+
+Cbor ToCbor(const Forward& message) {
+  Cbor value = Start(Type::kForward, message.number_);
+  WriteUnit(value, message.unit_);
+  value["k"] = message.key_hash_;
+  value["i"] = Bytes(message.request_id_);
+  value["c"] = message.class_;
+  value["m"] = Bytes(message.request_.method_);
+  value["p"] = Bytes(message.request_.path_);
+  value["h"] = HeadersToCbor(message.request_.headers_);
+  value["b"] = Bytes(message.request_.body_);
+  value["ik"] = Bytes(message.idempotency_key_);
+  value["ms"] = message.remaining_ms_;
+  return value;
+}
+
+Cbor ToCbor(const Answer& message) {
+  Cbor value = Start(Type::kAnswer, message.number_);
+  WriteAnswer(value, message.answer_);
+  value["oh"] = message.owner_hint_;
+  return value;
+}
+
+Cbor ToCbor(const Cancel& message) { return Start(Type::kCancel, message.number_); }
+
+Cbor ToCbor(const CopyEntry& message) {
+  Cbor value = Start(Type::kCopyEntry, message.number_);
+  value["ss"] = message.session_;
+  value["en"] = EntryToCbor(message.entry_);
+  return value;
+}
+
+Cbor ToCbor(const CopyTable& message) {
+  Cbor value = Start(Type::kCopyTable, message.number_);
+  value["ss"] = message.session_;
+  value["co"] = message.complete_;
+  value["gc"] = message.grantors_changed_at_;
+  Cbor::array_t units;
+  units.reserve(message.units_.size());
+  for (const auto& [unit, token] : message.units_) {
+    units.push_back({{"s", unit.service_}, {"u", unit.unit_}, {"tk", token}});
+  }
+  value["us"] = std::move(units);
+  value["es"] = EntriesToCbor(message.entries_);
+  return value;
+}
+
+Cbor ToCbor(const CopyConfirm& message) { return Start(Type::kCopyConfirm, message.number_); }
+
+Cbor ToCbor(const TableRequest& message) {
+  Cbor value = Start(Type::kTableRequest, message.number_);
+  value["ss"] = message.session_;
+  Cbor::array_t units;
+  units.reserve(message.units_.size());
+  for (const UnitId& unit : message.units_) {
+    units.push_back({{"s", unit.service_}, {"u", unit.unit_}});
+  }
+  value["us"] = std::move(units);
+  return value;
+}
+
+Cbor ToCbor(const TableReply& message) {
+  Cbor value = Start(Type::kTableReply, message.number_);
+  value["ss"] = message.session_;
+  value["co"] = message.complete_;
+  value["gc"] = message.grantors_changed_at_;
+  value["es"] = EntriesToCbor(message.entries_);
+  return value;
+}
+
+Cbor ToCbor(const Handover& message) {
+  Cbor value = Start(Type::kHandover, message.number_);
+  WriteUnit(value, message.unit_);
+  value["tk"] = message.token_;
+  value["co"] = message.complete_;
+  value["es"] = EntriesToCbor(message.entries_);
+  return value;
+}
+
+Cbor ToCbor(const HandoverConfirm& message) {
+  return Start(Type::kHandoverConfirm, message.number_);
+}
+
+Cbor ToCbor(const Suspect& message) {
+  return {{"t", static_cast<std::uint64_t>(Type::kSuspect)},
+          {"f", message.fingerprint_},
+          {"cr", message.crashes_}};
+}
+
+UnitId ReadUnit(FieldReader& reader) {
+  UnitId unit;
+  unit.service_ = TakeText(reader, "s");
+  Read(reader, "u", unit.unit_);
+  return unit;
+}
+
+HeaderList ReadHeaders(FieldReader& reader) {
+  Cbor::array_t items = TakeArray(reader, "h");
+  HeaderList headers;
+  headers.reserve(items.size() / 2);
+  if (items.size() % 2 != 0) {
+    NoteFault(reader, "h");
+    return headers;
+  }
+  for (std::size_t i = 0; i < items.size(); i += 2) {
+    if (!items[i].is_binary() || !items[i + 1].is_binary()) {
+      NoteFault(reader, "h");
+      return headers;
+    }
+    headers.emplace_back(ToBytes(items[i].get_binary()), ToBytes(items[i + 1].get_binary()));
+  }
+  return headers;
+}
+
+RoutedAnswer ReadAnswerFields(FieldReader& reader) {
+  RoutedAnswer answer;
+  answer.outcome_ = static_cast<Outcome>(
+      TakeUnsigned(reader, "o", static_cast<std::uint64_t>(Outcome::kUnknown)));
+  answer.response_.status_ = static_cast<int>(TakeUnsigned(reader, "st", kMaxStatus));
+  answer.response_.headers_ = ReadHeaders(reader);
+  answer.response_.body_ = TakeBytes(reader, "b");
+  answer.reason_ = TakeBytes(reader, "r");
+  return answer;
+}
+
+TableEntry ReadEntry(FieldReader& outer, Cbor& value) {
+  FieldReader reader = ReaderOf(value);
+  TableEntry entry;
+  entry.unit_ = ReadUnit(reader);
+  entry.id_ = TakeBytes(reader, "i");
+  Read(reader, "f", entry.fingerprint_);
+  entry.phase_ = static_cast<EntryPhase>(
+      TakeUnsigned(reader, "p", static_cast<std::uint64_t>(EntryPhase::kDone)));
+  if (entry.phase_ == EntryPhase::kDone) {
+    entry.answer_ = ReadAnswerFields(reader);
+  }
+  Inherit(outer, reader);
+  return entry;
+}
+
+std::vector<TableEntry> ReadEntries(FieldReader& reader) {
+  Cbor::array_t items = TakeArray(reader, "es");
+  std::vector<TableEntry> entries;
+  entries.reserve(items.size());
+  for (Cbor& item : items) {
+    entries.push_back(ReadEntry(reader, item));
+  }
+  return entries;
+}
+
+Forward ReadForward(FieldReader& reader) {
+  Forward message;
+  Read(reader, "n", message.number_);
+  message.unit_ = ReadUnit(reader);
+  Read(reader, "k", message.key_hash_);
+  message.request_id_ = TakeBytes(reader, "i");
+  message.class_ = TakeText(reader, "c");
+  message.request_.method_ = TakeBytes(reader, "m");
+  message.request_.path_ = TakeBytes(reader, "p");
+  message.request_.headers_ = ReadHeaders(reader);
+  message.request_.body_ = TakeBytes(reader, "b");
+  message.idempotency_key_ = TakeBytes(reader, "ik");
+  Read(reader, "ms", message.remaining_ms_);
+  return message;
+}
+
+Answer ReadAnswer(FieldReader& reader) {
+  Answer message;
+  Read(reader, "n", message.number_);
+  message.answer_ = ReadAnswerFields(reader);
+  message.owner_hint_ = TakeText(reader, "oh");
+  return message;
+}
+
+CopyEntry ReadCopyEntry(FieldReader& reader) {
+  CopyEntry message;
+  Read(reader, "n", message.number_);
+  message.session_ = TakeText(reader, "ss");
+  if (Cbor* entry = TakeField(reader, "en"); entry != nullptr) {
+    message.entry_ = ReadEntry(reader, *entry);
+  }
+  return message;
+}
+
+CopyTable ReadCopyTable(FieldReader& reader) {
+  CopyTable message;
+  Read(reader, "n", message.number_);
+  message.session_ = TakeText(reader, "ss");
+  message.complete_ = TakeFlag(reader, "co");
+  Read(reader, "gc", message.grantors_changed_at_);
+  for (Cbor& item : TakeArray(reader, "us")) {
+    FieldReader fields = ReaderOf(item);
+    auto& [unit, token] = message.units_.emplace_back();
+    unit = ReadUnit(fields);
+    Read(fields, "tk", token);
+    Inherit(reader, fields);
+  }
+  message.entries_ = ReadEntries(reader);
+  return message;
+}
+
+TableRequest ReadTableRequest(FieldReader& reader) {
+  TableRequest message;
+  Read(reader, "n", message.number_);
+  message.session_ = TakeText(reader, "ss");
+  for (Cbor& item : TakeArray(reader, "us")) {
+    FieldReader fields = ReaderOf(item);
+    message.units_.push_back(ReadUnit(fields));
+    Inherit(reader, fields);
+  }
+  return message;
+}
+
+TableReply ReadTableReply(FieldReader& reader) {
+  TableReply message;
+  Read(reader, "n", message.number_);
+  message.session_ = TakeText(reader, "ss");
+  message.complete_ = TakeFlag(reader, "co");
+  Read(reader, "gc", message.grantors_changed_at_);
+  message.entries_ = ReadEntries(reader);
+  return message;
+}
+
+Handover ReadHandover(FieldReader& reader) {
+  Handover message;
+  Read(reader, "n", message.number_);
+  message.unit_ = ReadUnit(reader);
+  Read(reader, "tk", message.token_);
+  message.complete_ = TakeFlag(reader, "co");
+  message.entries_ = ReadEntries(reader);
+  return message;
+}
+
+Suspect ReadSuspect(FieldReader& reader) {
+  Suspect message;
+  Read(reader, "f", message.fingerprint_);
+  Read(reader, "cr", message.crashes_);
+  return message;
+}
+
+template <typename Message>
+Message ReadNumbered(FieldReader& reader) {
+  Message message;
+  Read(reader, "n", message.number_);
+  return message;
+}
+
+/// False for an unknown type.
+bool ReadBody(FieldReader& reader, Type type, TrafficMessage& message) {
+  switch (type) {
+    case Type::kForward:
+      message = ReadForward(reader);
+      return true;
+    case Type::kAnswer:
+      message = ReadAnswer(reader);
+      return true;
+    case Type::kCancel:
+      message = ReadNumbered<Cancel>(reader);
+      return true;
+    case Type::kCopyEntry:
+      message = ReadCopyEntry(reader);
+      return true;
+    case Type::kCopyTable:
+      message = ReadCopyTable(reader);
+      return true;
+    case Type::kCopyConfirm:
+      message = ReadNumbered<CopyConfirm>(reader);
+      return true;
+    case Type::kTableRequest:
+      message = ReadTableRequest(reader);
+      return true;
+    case Type::kTableReply:
+      message = ReadTableReply(reader);
+      return true;
+    case Type::kHandover:
+      message = ReadHandover(reader);
+      return true;
+    case Type::kHandoverConfirm:
+      message = ReadNumbered<HandoverConfirm>(reader);
+      return true;
+    case Type::kSuspect:
+      message = ReadSuspect(reader);
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string Encode(const TrafficMessage& message) {
+  return SerializeFrame(std::visit([](const auto& body) { return ToCbor(body); }, message));
+}
+
+Result<TrafficMessage> DecodeTrafficMessage(std::string_view frame) {
+  SASSAFRASBAY_TRY(value, ParseFrame(frame));
+  FieldReader reader = ReaderOf(value);
+  std::uint64_t type = 0;
+  Read(reader, "t", type);
+  TrafficMessage message;
+  const bool known = ReadBody(reader, static_cast<Type>(type), message);
+  if (!known && reader.fault_.empty()) {
+    return MakeError(Errc::kUnsupportedVersion, kStep, "", "type " + std::to_string(type));
+  }
+  if (!reader.fault_.empty()) {
+    return FieldError(kStep, reader);
+  }
+  return message;
+}
+
+}  // namespace sassafrasbay
