LibRouting: Add the request table

The unknown window of an incomplete table is twice the clock allowance and entries stay for the retention plus the allowance. An earlier owner whose clock was ahead by the allowance may have accepted an id that leads this owner's clock by twice the allowance, and may have dropped an id that this owner would still take for new.

--- /dev/null
+++ b/Libraries/LibRouting/request_table.cc
@@ -0,0 +1,270 @@
+#include "LibRouting/request_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasbay {
+namespace {
+
+constexpr int kStatusUnknown = 504;
+constexpr std::size_t kUuidLength = 36;
+
+/// Fingerprint of an entry whose request is not known for certain; it matches every request.
+constexpr std::uint64_t kAnyFingerprint = 0;
+
+bool IsHyphenPosition(std::size_t index) {
+  return index == 8 || index == 13 || index == 18 || index == 23;
+}
+
+/// Value of a hexadecimal digit, or -1.
+int HexValue(char digit) {
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  const char lower = static_cast<char>(digit | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+/// The same UUID in upper and lower case is one id, or it would run twice.
+std::string Normalize(std::string_view id) {
+  std::string normalized(id);
+  for (char& character : normalized) {
+    if (character >= 'A' && character <= 'F') {
+      character = static_cast<char>(character | 0x20);
+    }
+  }
+  return normalized;
+}
+
+RoutedAnswer UnknownAnswer(std::string_view reason) {
+  RoutedAnswer answer;
+  answer.outcome_ = Outcome::kUnknown;
+  answer.response_.status_ = kStatusUnknown;
+  answer.reason_ = reason;
+  return answer;
+}
+
+TableVerdict UnknownVerdict(std::string_view reason) {
+  return TableVerdict{TableDecision::kUnknown, UnknownAnswer(reason), std::string(reason)};
+}
+
+TableVerdict MakeVerdict(TableDecision decision, std::string_view reason) {
+  TableVerdict verdict;
+  verdict.decision_ = decision;
+  verdict.reason_ = reason;
+  return verdict;
+}
+
+/// When an entry may leave the table. An id is accepted as new until its time + retention on the
+/// clock of whichever node owns the unit then. That clock may be behind this one by the allowance,
+/// hence the extra term. Counting from the later of both times keeps the outcome of an id whose
+/// time is ahead or that was entered late.
+WallTime ExpiryOf(WallTime id_time, WallTime now, const RequestTableTerms& terms) {
+  return std::max(id_time, now) + terms.retention_ + terms.clock_allowance_;
+}
+
+void DropExpiry(UnitTable& unit, const HeldEntry& entry) {
+  auto [first, last] = unit.expiry_.equal_range(entry.expires_);
+  const auto found =
+      std::find_if(first, last, [&entry](const auto& item) { return item.second == entry.id_; });
+  if (found != last) {
+    unit.expiry_.erase(found);
+  }
+}
+
+void Insert(UnitTable& unit, TableEntry entry, WallTime expires) {
+  unit.expiry_.emplace(expires, entry.id_);
+  std::string key = entry.id_;
+  HeldEntry held;
+  static_cast<TableEntry&>(held) = std::move(entry);
+  held.expires_ = expires;
+  unit.entries_.insert_or_assign(std::move(key), std::move(held));
+}
+
+bool IsAnswered(const TableEntry& entry) {
+  return entry.phase_ == EntryPhase::kDone && entry.answer_.outcome_ == Outcome::kAnswered;
+}
+
+/// Merges a copy into an entry that is there already. Copies of one id differ when a message to a
+/// grantor was lost.
+void MergeCopy(HeldEntry& held, TableEntry&& copy) {
+  if (IsAnswered(held)) {
+    return;
+  }
+  if (IsAnswered(copy)) {
+    static_cast<TableEntry&>(held) = std::move(copy);
+    return;
+  }
+  // The id was refused as not run and tried again for another request. Which of the two started
+  // last is not known, so neither may be answered with "not run".
+  if (held.fingerprint_ != copy.fingerprint_) {
+    held.fingerprint_ = kAnyFingerprint;
+  }
+}
+
+TableVerdict JudgeHeld(const HeldEntry& entry, std::uint64_t fingerprint) {
+  if (entry.fingerprint_ != fingerprint && entry.fingerprint_ != kAnyFingerprint) {
+    return MakeVerdict(TableDecision::kMismatch,
+                       "the idempotency key was used for another request");
+  }
+  if (entry.phase_ == EntryPhase::kStarted) {
+    return MakeVerdict(TableDecision::kWait, "the request is running");
+  }
+  const bool unknown = entry.answer_.outcome_ == Outcome::kUnknown;
+  return TableVerdict{unknown ? TableDecision::kUnknown : TableDecision::kReplay, entry.answer_,
+                      entry.answer_.reason_};
+}
+
+}  // namespace
+
+Result<WallTime> TimeOfId(std::string_view id) {
+  const auto fail = [](std::string_view detail) {
+    return MakeError(Errc::kInvalidArgument, "read idempotency key", "", detail);
+  };
+  if (id.size() != kUuidLength) {
+    return fail("not a UUID");
+  }
+  std::int64_t time = 0;
+  for (std::size_t i = 0; i < kUuidLength; ++i) {
+    const int value = HexValue(id[i]);
+    if (IsHyphenPosition(i) ? id[i] != '-' : value < 0) {
+      return fail("not a UUID");
+    }
+    // The time is the first 48 bits: 12 digits and one hyphen.
+    if (i < 13 && value >= 0) {
+      time = time * 16 + value;
+    }
+  }
+  if (id[14] != '7' || (HexValue(id[19]) & 0xC) != 0x8) {
+    return fail("not a UUID of version 7");
+  }
+  return WallTime(milliseconds(time));
+}
+
+void OpenUnit(RequestTable& table, const UnitId& unit, bool incomplete, WallTime now,
+              const RequestTableTerms& terms) {
+  // Entries of an earlier time of ownership stay: what they record remains true.
+  UnitTable& opened = table.units_[unit];
+  opened.unknown_until_.reset();
+  if (incomplete) {
+    opened.unknown_until_ = now + 2 * terms.clock_allowance_;
+  }
+}
+
+void AdoptEntries(RequestTable& table, const UnitId& unit, std::span<const TableEntry> entries,
+                  WallTime now, const RequestTableTerms& terms) {
+  const auto found = table.units_.find(unit);
+  if (found == table.units_.end()) {
+    return;
+  }
+  for (const TableEntry& entry : entries) {
+    const Result<WallTime> time = TimeOfId(entry.id_);
+    // A refusal says nothing about a later attempt with the same id, whose copy may be elsewhere.
+    const bool refused =
+        entry.phase_ == EntryPhase::kDone && entry.answer_.outcome_ == Outcome::kNotRun;
+    if (entry.unit_ != unit || !time.has_value() || refused) {
+      continue;
+    }
+    TableEntry adopted = entry;
+    adopted.id_ = Normalize(entry.id_);
+    if (adopted.phase_ == EntryPhase::kStarted) {
+      adopted.phase_ = EntryPhase::kDone;
+      adopted.answer_ = UnknownAnswer("the owner was lost while the request ran");
+    }
+    const auto held = found->second.entries_.find(adopted.id_);
+    if (held != found->second.entries_.end()) {
+      MergeCopy(held->second, std::move(adopted));
+      continue;
+    }
+    Insert(found->second, std::move(adopted), ExpiryOf(time.value(), now, terms));
+  }
+}
+
+void MarkComplete(RequestTable& table, const UnitId& unit) {
+  if (const auto found = table.units_.find(unit); found != table.units_.end()) {
+    found->second.unknown_until_.reset();
+  }
+}
+
+bool IsComplete(const RequestTable& table, const UnitId& unit) {
+  const auto found = table.units_.find(unit);
+  return found != table.units_.end() && !found->second.unknown_until_.has_value();
+}
+
+std::vector<TableEntry> CloseUnit(RequestTable& table, const UnitId& unit) {
+  auto closed = table.units_.extract(unit);
+  std::vector<TableEntry> entries;
+  if (closed.empty()) {
+    return entries;
+  }
+  entries.reserve(closed.mapped().entries_.size());
+  for (auto& [id, entry] : closed.mapped().entries_) {
+    entries.push_back(std::move(static_cast<TableEntry&>(entry)));
+  }
+  return entries;
+}
+
+TableVerdict Admit(RequestTable& table, const UnitId& unit, std::string_view id,
+                   std::uint64_t fingerprint, WallTime now, const RequestTableTerms& terms) {
+  const Result<WallTime> time = TimeOfId(id);
+  if (!time.has_value()) {
+    return MakeVerdict(TableDecision::kInvalid, time.error().detail_);
+  }
+  const auto found = table.units_.find(unit);
+  if (found == table.units_.end()) {
+    return UnknownVerdict("the request table of the unit is not open");
+  }
+  UnitTable& opened = found->second;
+  std::string key = Normalize(id);
+  if (const auto held = opened.entries_.find(key); held != opened.entries_.end()) {
+    return JudgeHeld(held->second, fingerprint);
+  }
+  // This comes before the check for ids that are too early: an earlier owner whose clock was ahead
+  // may have run an id that this owner would refuse as not run.
+  if (opened.unknown_until_.has_value() && time.value() <= *opened.unknown_until_) {
+    return UnknownVerdict("an earlier owner may have run it and its records are lost");
+  }
+  if (time.value() > now + terms.clock_allowance_) {
+    return MakeVerdict(TableDecision::kTooEarly,
+                       "the time of the idempotency key is in the future");
+  }
+  if (time.value() + terms.retention_ <= now) {
+    return UnknownVerdict("the idempotency key is older than the retention");
+  }
+  TableEntry entry;
+  entry.unit_ = unit;
+  entry.id_ = std::move(key);
+  entry.fingerprint_ = fingerprint;
+  Insert(opened, std::move(entry), ExpiryOf(time.value(), now, terms));
+  return MakeVerdict(TableDecision::kRun, "");
+}
+
+void Finish(RequestTable& table, const UnitId& unit, std::string_view id,
+            const RoutedAnswer& answer) {
+  const auto found = table.units_.find(unit);
+  if (found == table.units_.end()) {
+    return;
+  }
+  const auto held = found->second.entries_.find(Normalize(id));
+  if (held == found->second.entries_.end() || held->second.phase_ == EntryPhase::kDone) {
+    return;
+  }
+  if (answer.outcome_ == Outcome::kNotRun) {
+    DropExpiry(found->second, held->second);
+    found->second.entries_.erase(held);
+    return;
+  }
+  held->second.phase_ = EntryPhase::kDone;
+  held->second.answer_ = answer;
+}
+
+void ExpireEntries(RequestTable& table, WallTime now) {
+  for (auto& [unit, held] : table.units_) {
+    while (!held.expiry_.empty() && held.expiry_.begin()->first < now) {
+      held.entries_.erase(held.expiry_.begin()->second);
+      held.expiry_.erase(held.expiry_.begin());
+    }
+  }
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibRouting/request_table.h
+++ b/Libraries/LibRouting/request_table.h
@@ -16,17 +16,23 @@
 namespace sassafrasbay {
 
 struct RequestTableTerms {
+  /// Largest lead of a caller's clock over the owner's, and largest difference between the clocks
+  /// of two nodes.
   std::chrono::milliseconds clock_allowance_{600'000};
   std::chrono::milliseconds retention_{3'600'000};
 };
 
+struct HeldEntry : TableEntry {
+  WallTime expires_{};
+};
+
 /// Request ids of one unit while this node owns it.
 struct UnitTable {
   /// Ids up to this time (of the id) may have run under an earlier owner whose table was not
   /// recovered whole. Unset when the table is complete.
   std::optional<WallTime> unknown_until_;
-  std::unordered_map<std::string, TableEntry> entries_;
-  std::multimap<WallTime, std::string> expiry_;  ///< When an id leaves the table.
+  std::unordered_map<std::string, HeldEntry> entries_;  ///< By id in lower case.
+  std::multimap<WallTime, std::string> expiry_;         ///< When an id leaves the table.
 };
 
 struct RequestTable {
@@ -42,18 +48,19 @@
   kReplay,    ///< Answer with the recorded outcome.
   kMismatch,  ///< The id was used for another request: not run, status 422.
   kTooEarly,  ///< The id's time is too far ahead: not run.
-  kUnknown,   ///< It may have run.
+  kUnknown,   ///< It may have run; the answer is filled in.
   kInvalid,   ///< No UUIDv7: not run, status 400.
 };
 
 struct TableVerdict {
   TableDecision decision_ = TableDecision::kUnknown;
-  RoutedAnswer answer_;  ///< Meaningful for kReplay.
+  RoutedAnswer answer_;  ///< Meaningful for kReplay and kUnknown.
   std::string reason_;
 };
 
 /// Starts the table of a unit. `incomplete` tables answer unknown for ids that an earlier owner may
-/// have run, that is, whose time is before now + clock allowance.
+/// have run, that is, whose time is up to now + twice the clock allowance: once for the lead that
+/// the earlier owner accepted, once for the difference between the two owners' clocks.
 void OpenUnit(RequestTable& table, const UnitId& unit, bool incomplete, WallTime now,
               const RequestTableTerms& terms);
 
@@ -65,6 +72,10 @@
 /// Declares the table of the unit complete: every id that ever ran and is retained is in it.
 void MarkComplete(RequestTable& table, const UnitId& unit);
 
+/// Whether an id that is absent from the table and still retained has certainly not run. Copies and
+/// hand-overs carry this.
+bool IsComplete(const RequestTable& table, const UnitId& unit);
+
 /// Removes the unit's table and returns its entries, for a hand-over.
 std::vector<TableEntry> CloseUnit(RequestTable& table, const UnitId& unit);
 
