--- /dev/null
+++ b/Libraries/LibRouting/retry.cc
@@ -0,0 +1,56 @@
+#include "LibRouting/retry.h"
+
+#include <algorithm>
+
+namespace sassafrasbay {
+namespace {
+
+/// Doublings after which every delay has reached any sensible maximum; keeps the shift defined.
+constexpr int kMaxDoublings = 20;
+
+constexpr double kTokensPerRetry = 1.0;
+
+/// Upper bound of the delay before the next attempt.
+milliseconds BackoffCeiling(const RetryTerms& terms, int attempts) {
+  const int doublings = std::clamp(attempts - 1, 0, kMaxDoublings);
+  return std::min(terms.max_delay_, terms.base_delay_ * (1 << doublings));
+}
+
+}  // namespace
+
+RetryBudget MakeRetryBudget(const RetryTerms& terms) {
+  RetryBudget budget;
+  budget.terms_ = terms;
+  budget.tokens_ = terms.reserve_;
+  return budget;
+}
+
+void CountSuccess(RetryBudget& budget) {
+  // The cap bounds the burst of retries that a long healthy time could otherwise pay for.
+  const double cap = std::max(budget.terms_.reserve_, kTokensPerRetry);
+  budget.tokens_ = std::min(cap, budget.tokens_ + budget.terms_.budget_percent_ / 100.0);
+}
+
+std::optional<milliseconds> DecideRetry(RetryBudget& budget, const RetryQuestion& question,
+                                        BootTime now, std::mt19937_64& random) {
+  if (question.suspect_) {
+    return std::nullopt;
+  }
+  if (question.kind_ == RequestKind::kBinding && question.handed_to_upstream_) {
+    return std::nullopt;
+  }
+  if (budget.tokens_ < kTokensPerRetry) {
+    return std::nullopt;
+  }
+  // Full jitter spreads the retries of callers that failed at the same moment.
+  std::uniform_int_distribution<milliseconds::rep> jitter(
+      0, std::max<milliseconds::rep>(0, BackoffCeiling(budget.terms_, question.attempts_).count()));
+  const milliseconds delay(jitter(random));
+  if (now + delay >= question.deadline_) {
+    return std::nullopt;
+  }
+  budget.tokens_ -= kTokensPerRetry;
+  return delay;
+}
+
+}  // namespace sassafrasbay
