--- a/Libraries/LibConfiguration/node_settings.h
+++ b/Libraries/LibConfiguration/node_settings.h
@@ -27,15 +27,15 @@
   std::string name_;
   std::string data_centre_;
   std::string region_;
-  Endpoint callers_;     ///< Listens for callers, upstream announcements and operators (HTTP).
-  Endpoint traffic_;     ///< Listens for requests forwarded by other nodes (websocket).
-  Endpoint control_;     ///< Listens for heartbeats of other nodes (websocket).
+  Endpoint callers_;  ///< Listens for callers, upstream announcements and operators (HTTP).
+  Endpoint traffic_;  ///< Listens for requests forwarded by other nodes (websocket).
+  Endpoint control_;  ///< Listens for heartbeats of other nodes (websocket).
   Endpoint advertised_callers_;  ///< Given to other nodes; the listening addresses by default.
   Endpoint advertised_traffic_;
   Endpoint advertised_control_;
-  std::string log_url_;  ///< "http://127.0.0.1:9000".
+  std::string log_url_;            ///< "http://127.0.0.1:9000".
   int checkpoint_records_ = 2000;  ///< A checkpoint is written after this many records.
-  std::vector<Endpoint> seeds_;  ///< Control addresses that give a snapshot during a log outage.
+  std::vector<Endpoint> seeds_;    ///< Control addresses that give a snapshot during a log outage.
 
   std::chrono::milliseconds lease_{1000};
   std::chrono::milliseconds heartbeat_{200};
--- a/Libraries/LibControl/cbor_fields.h
+++ b/Libraries/LibControl/cbor_fields.h
@@ -149,6 +149,7 @@
   visit("token", value.token_);
   visit("move", value.move_);
   visit("inherited_from", value.inherited_from_);
+  visit("inherited_token", value.inherited_token_);
 }
 
 void Fields(auto& visit, Is<Override> auto& value) {
--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -58,6 +58,7 @@
   /// The session whose request table the owner has to recover; empty when the unit is new or was
   /// handed over.
   SessionId inherited_from_;
+  Offset inherited_token_ = 0;  ///< Token under which inherited_from_ held the unit.
 };
 
 struct Override {
--- a/Libraries/LibControl/unit_rules.cc
+++ b/Libraries/LibControl/unit_rules.cc
@@ -102,12 +102,14 @@
   if (shard.token_ != record.base_token_) {
     return Refuse(step, "token of the shard changed");
   }
-  // The owner's request table for the shard must be complete, since the override starts with it.
-  if (shard.owner_.empty() || shard.move_ || !shard.inherited_from_.empty()) {
-    return Refuse(step, "the shard has no owner, is moving or was inherited");
+  if (shard.owner_.empty() || shard.move_) {
+    return Refuse(step, "the shard has no owner or is moving");
   }
   Override entry{units.next_override_unit_, shard};
   entry.ownership_.token_ = step.offset_;
+  // The owner starts the override with its own copy of the shard's request table, whatever that
+  // table was recovered from.
+  entry.ownership_.inherited_from_.clear();
   ++units.next_override_unit_;
   step.verdict_.decisions_.push_back(
       {{record.service_, entry.unit_}, shard.owner_, shard.owner_, step.offset_, "key split off"});
--- a/Libraries/LibRouting/messages.h
+++ b/Libraries/LibRouting/messages.h
@@ -87,7 +87,7 @@
 struct TableRequest {
   std::uint64_t number_ = 0;
   SessionId session_;
-  std::vector<UnitId> units_;
+  std::vector<std::pair<UnitId, Offset>> units_;  ///< With the tokens the session held them under.
 };
 
 struct TableReply {
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -11,8 +11,8 @@
 
 namespace sassafrasbay {
 
-/// End of one session's lease, nanoseconds of CLOCK_BOOTTIME. Written by the control thread, read by
-/// the traffic thread.
+/// End of one session's lease, nanoseconds of CLOCK_BOOTTIME. Written by the control thread, read
+/// by the traffic thread.
 struct LeaseCell {
   std::atomic<std::int64_t> end_ns_{0};
 };
@@ -29,7 +29,7 @@
 struct RoutingSnapshot {
   std::uint64_t version_ = 0;  ///< Counts up with each publication by this process.
   std::shared_ptr<const ControlState> state_;
-  SessionId own_session_;  ///< Empty while this node owns nothing.
+  SessionId own_session_;                   ///< Empty while this node owns nothing.
   std::shared_ptr<const LeaseCell> lease_;  ///< Of own_session_; null without one.
 };
 
--- a/Libraries/LibRouting/traffic_message_codec.cc
+++ b/Libraries/LibRouting/traffic_message_codec.cc
@@ -102,17 +102,21 @@
   return value;
 }
 
+Cbor UnitsToCbor(const std::vector<std::pair<UnitId, Offset>>& units) {
+  Cbor::array_t items;
+  items.reserve(units.size());
+  for (const auto& [unit, token] : units) {
+    items.push_back({{"s", unit.service_}, {"u", unit.unit_}, {"tk", token}});
+  }
+  return items;
+}
+
 Cbor ToCbor(const CopyTable& message) {
   Cbor value = Start(Type::kCopyTable, message.number_);
   value["ss"] = message.session_;
   value["co"] = message.complete_;
   value["gc"] = message.grantors_changed_at_;
-  Cbor::array_t units;
-  units.reserve(message.units_.size());
-  for (const auto& [unit, token] : message.units_) {
-    units.push_back({{"s", unit.service_}, {"u", unit.unit_}, {"tk", token}});
-  }
-  value["us"] = std::move(units);
+  value["us"] = UnitsToCbor(message.units_);
   value["es"] = EntriesToCbor(message.entries_);
   return value;
 }
@@ -122,12 +126,7 @@
 Cbor ToCbor(const TableRequest& message) {
   Cbor value = Start(Type::kTableRequest, message.number_);
   value["ss"] = message.session_;
-  Cbor::array_t units;
-  units.reserve(message.units_.size());
-  for (const UnitId& unit : message.units_) {
-    units.push_back({{"s", unit.service_}, {"u", unit.unit_}});
-  }
-  value["us"] = std::move(units);
+  value["us"] = UnitsToCbor(message.units_);
   return value;
 }
 
@@ -254,19 +253,25 @@
   return message;
 }
 
-CopyTable ReadCopyTable(FieldReader& reader) {
-  CopyTable message;
-  Read(reader, "n", message.number_);
-  message.session_ = TakeText(reader, "ss");
-  message.complete_ = TakeFlag(reader, "co");
-  Read(reader, "gc", message.grantors_changed_at_);
+std::vector<std::pair<UnitId, Offset>> ReadUnits(FieldReader& reader) {
+  std::vector<std::pair<UnitId, Offset>> units;
   for (Cbor& item : TakeArray(reader, "us")) {
     FieldReader fields = ReaderOf(item);
-    auto& [unit, token] = message.units_.emplace_back();
+    auto& [unit, token] = units.emplace_back();
     unit = ReadUnit(fields);
     Read(fields, "tk", token);
     Inherit(reader, fields);
   }
+  return units;
+}
+
+CopyTable ReadCopyTable(FieldReader& reader) {
+  CopyTable message;
+  Read(reader, "n", message.number_);
+  message.session_ = TakeText(reader, "ss");
+  message.complete_ = TakeFlag(reader, "co");
+  Read(reader, "gc", message.grantors_changed_at_);
+  message.units_ = ReadUnits(reader);
   message.entries_ = ReadEntries(reader);
   return message;
 }
@@ -275,11 +280,7 @@
   TableRequest message;
   Read(reader, "n", message.number_);
   message.session_ = TakeText(reader, "ss");
-  for (Cbor& item : TakeArray(reader, "us")) {
-    FieldReader fields = ReaderOf(item);
-    message.units_.push_back(ReadUnit(fields));
-    Inherit(reader, fields);
-  }
+  message.units_ = ReadUnits(reader);
   return message;
 }
 
--- a/Services/sassafrasbay/checkpoint_writer.cc
+++ b/Services/sassafrasbay/checkpoint_writer.cc
@@ -60,8 +60,8 @@
   }
   // Not due again before the fallback of the next session would start.
   due_since_ = now + kFallbackDelay;
-  LogInfo("log", "Writing a checkpoint through offset " + std::to_string(state.next_offset_ - 1) +
-                     ".");
+  LogInfo("log",
+          "Writing a checkpoint through offset " + std::to_string(state.next_offset_ - 1) + ".");
   writer_.Write(Checkpoint{state.next_offset_ - 1, EncodeState(state)}, LogWriter::Repeat::kNever,
                 [](Offset, const Verdict&, BootTime) {});
 }
--- a/Services/sassafrasbay/checkpoint_writer.h
+++ b/Services/sassafrasbay/checkpoint_writer.h
@@ -13,8 +13,8 @@
 /// the lowest id does it; each further one waits longer, in case those before it are silent.
 class CheckpointWriter {
  public:
-  CheckpointWriter(ReactorLoop& loop, SharedState& shared, LogFollower& follower,
-                   LogWriter& writer, SessionKeeper& session);
+  CheckpointWriter(ReactorLoop& loop, SharedState& shared, LogFollower& follower, LogWriter& writer,
+                   SessionKeeper& session);
   CheckpointWriter(const CheckpointWriter&) = delete;
   CheckpointWriter& operator=(const CheckpointWriter&) = delete;
 
--- a/Services/sassafrasbay/ingress.cc
+++ b/Services/sassafrasbay/ingress.cc
@@ -88,8 +88,7 @@
   pending.forward_.class_ = classified.value().class_->name_;
   pending.forward_.request_id_ = node_prefix_ + "-" + std::to_string(number);
   pending.forward_.request_ = exchange->Request();
-  pending.forward_.idempotency_key_ =
-      FindHeader(exchange->Request().headers_, "Idempotency-Key");
+  pending.forward_.idempotency_key_ = FindHeader(exchange->Request().headers_, "Idempotency-Key");
   Advance(pending, "classified");
   exchange->OnAbandoned([this, number] { Abandon(number); });
   Route(number);
@@ -108,8 +107,7 @@
     WaitAndRoute(number, "the service has no units");
     return;
   }
-  pending.forward_.unit_ =
-      UnitOfKey(service->second, service->first, pending.forward_.key_hash_);
+  pending.forward_.unit_ = UnitOfKey(service->second, service->first, pending.forward_.key_hash_);
   const Unit* unit = FindUnit(state, pending.forward_.unit_);
   const Session* owner = unit != nullptr ? FindSession(state, unit->owner_) : nullptr;
   // During a move the old owner still knows best until it has released the unit; asked again after
@@ -122,8 +120,8 @@
     WaitAndRoute(number, "the unit has no owner");
     return;
   }
-  pending.forward_.remaining_ms_ = static_cast<std::uint32_t>(
-      std::chrono::ceil<milliseconds>(pending.deadline_ - now).count());
+  pending.forward_.remaining_ms_ =
+      static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(pending.deadline_ - now).count());
   SendTo(number, *owner);
 }
 
@@ -136,10 +134,9 @@
                      std::to_string(pending.forward_.unit_.unit_) + ".");
   if (owner.join_.session_ == snapshot_->own_session_) {
     Advance(pending, "local");
-    const std::uint64_t handled = owner_.Handle(
-        pending.forward_, [this, number](RoutedAnswer answer) {
-          OnAnswer(number, std::move(answer));
-        });
+    const std::uint64_t handled =
+        owner_.Handle(pending.forward_,
+                      [this, number](RoutedAnswer answer) { OnAnswer(number, std::move(answer)); });
     const auto found = pending_.find(number);
     if (found != pending_.end() && !found->second.waiting_) {
       found->second.owner_number_ = handled;
@@ -182,8 +179,8 @@
   }
   Pending& pending = found->second;
   pending.owner_number_ = 0;
-  const bool misdirected = answer.outcome_ == Outcome::kNotRun &&
-                           answer.response_.status_ == kMisdirectedStatus;
+  const bool misdirected =
+      answer.outcome_ == Outcome::kNotRun && answer.response_.status_ == kMisdirectedStatus;
   if (misdirected) {
     WaitAndRoute(number, answer.reason_);
     return;
@@ -201,8 +198,8 @@
     Advance(pending, "rerouted");
   }
   if (!pending.waiting_) {
-    LogInfo(kPart, "Request " + pending.forward_.request_id_ + " waits: " + std::string(reason) +
-                       ".");
+    LogInfo(kPart,
+            "Request " + pending.forward_.request_id_ + " waits: " + std::string(reason) + ".");
   }
   pending.waiting_ = true;
   shared_.metrics_.Count("sassafrasbay_reroutes_total");
@@ -222,8 +219,7 @@
                              pending.forward_.class_ + "\",outcome=\"" +
                              std::string(ToString(answer.outcome_)) + "\"";
   shared_.metrics_.Count("sassafrasbay_requests_total", labels);
-  const std::chrono::duration<double, std::milli> latency =
-      BootClock::now() - pending.received_at_;
+  const std::chrono::duration<double, std::milli> latency = BootClock::now() - pending.received_at_;
   shared_.metrics_.Observe("sassafrasbay_request_latency_ms", {}, latency.count());
   if (answer.outcome_ != Outcome::kAnswered) {
     LogInfo(kPart, "Request " + pending.forward_.request_id_ + " ends as " +
--- a/Services/sassafrasbay/load_meter.cc
+++ b/Services/sassafrasbay/load_meter.cc
@@ -37,9 +37,8 @@
     return;
   }
   const auto lightest =
-      std::min_element(meter.keys_.begin(), meter.keys_.end(), [](const auto& l, const auto& r) {
-        return l.second < r.second;
-      });
+      std::min_element(meter.keys_.begin(), meter.keys_.end(),
+                       [](const auto& l, const auto& r) { return l.second < r.second; });
   const double inherited = lightest->second;
   meter.keys_.erase(lightest);
   meter.keys_[key_hash] = inherited + 1;
@@ -54,12 +53,10 @@
   for (auto& [key, value] : meter.keys_) {
     value /= 2;
   }
-  std::erase_if(meter.units_, [seconds](const auto& item) {
-    return item.second < kNegligibleRate * seconds;
-  });
-  std::erase_if(meter.keys_, [seconds](const auto& item) {
-    return item.second < kNegligibleRate * seconds;
-  });
+  std::erase_if(meter.units_,
+                [seconds](const auto& item) { return item.second < kNegligibleRate * seconds; });
+  std::erase_if(meter.keys_,
+                [seconds](const auto& item) { return item.second < kNegligibleRate * seconds; });
 }
 
 std::vector<std::pair<std::uint64_t, double>> HeaviestKeys(const LoadMeter& meter,
--- a/Services/sassafrasbay/log_follower.cc
+++ b/Services/sassafrasbay/log_follower.cc
@@ -106,8 +106,7 @@
 void LogFollower::Scan(Offset offset, const std::string& bytes) {
   scanned_.emplace_back(offset, bytes);
   const auto record = DecodeRecord(bytes);
-  const auto* checkpoint =
-      record ? std::get_if<Checkpoint>(&record.value().body_) : nullptr;
+  const auto* checkpoint = record ? std::get_if<Checkpoint>(&record.value().body_) : nullptr;
   // A checkpoint is usable when every record after its state is retained.
   if (checkpoint == nullptr || checkpoint->through_offset_ + 1 < scan_first_) {
     return;
@@ -136,8 +135,8 @@
       state.configuration_version_ < state_.configuration_version_) {
     return false;
   }
-  LogInfo(kPart, "Adopted a peer's snapshot up to offset " + std::to_string(state.next_offset_) +
-                     ".");
+  LogInfo(kPart,
+          "Adopted a peer's snapshot up to offset " + std::to_string(state.next_offset_) + ".");
   state_ = std::move(state);
   scanning_ = false;
   scanned_.clear();
--- a/Services/sassafrasbay/log_writer.cc
+++ b/Services/sassafrasbay/log_writer.cc
@@ -22,8 +22,8 @@
 /// Jitter keeps all nodes from appending at the same moment when the log comes back.
 milliseconds WithJitter(milliseconds delay) {
   thread_local std::mt19937_64 random{std::random_device{}()};
-  return milliseconds(std::uniform_int_distribution<std::int64_t>(delay.count() / 2,
-                                                                  delay.count())(random));
+  return milliseconds(
+      std::uniform_int_distribution<std::int64_t>(delay.count() / 2, delay.count())(random));
 }
 
 }  // namespace
--- a/Services/sassafrasbay/operator_api.cc
+++ b/Services/sassafrasbay/operator_api.cc
@@ -65,7 +65,8 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units, Owner& owner)
+OperatorApi::OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link,
+                         OwnedUnits& units, Owner& owner)
     : shared_(shared), lease_(lease), link_(link), units_(units), owner_(owner) {}
 
 void OperatorApi::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
@@ -129,9 +130,8 @@
   json body = {{"node", shared_.settings_.name_},
                {"data_centre", shared_.settings_.data_centre_},
                {"upstream", link_.Health()},
-               {"lease_remaining_ms", std::chrono::floor<milliseconds>(LeaseEnd(lease_) -
-                                                                       BootClock::now())
-                                          .count()},
+               {"lease_remaining_ms",
+                std::chrono::floor<milliseconds>(LeaseEnd(lease_) - BootClock::now()).count()},
                {"units_held", units_.Count()}};
   if (snapshot_) {
     const ControlState& state = *snapshot_->state_;
@@ -190,8 +190,7 @@
   Metrics& metrics = shared_.metrics_;
   const Admission& admission = owner_.CurrentAdmission();
   metrics.SetGauge("sassafrasbay_units_held", {}, static_cast<double>(units_.Count()));
-  metrics.SetGauge("sassafrasbay_admission_limit", {},
-                   CurrentLimit(admission, BootClock::now()));
+  metrics.SetGauge("sassafrasbay_admission_limit", {}, CurrentLimit(admission, BootClock::now()));
   metrics.SetGauge("sassafrasbay_admission_running", {}, admission.running_);
   metrics.SetGauge("sassafrasbay_admission_queued", {},
                    static_cast<double>(admission.queue_.size()));
--- a/Services/sassafrasbay/operator_api.h
+++ b/Services/sassafrasbay/operator_api.h
@@ -16,7 +16,8 @@
 /// The paths below "/-/": announcements of upstreams, and what operators ask.
 class OperatorApi {
  public:
-  OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units, Owner& owner);
+  OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units,
+              Owner& owner);
 
   void SetControlCalls(ControlCalls calls) { control_ = std::move(calls); }
   void SetUpstreamStarted(std::function<void()> callback) { started_ = std::move(callback); }
--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -1,5 +1,6 @@
 #include "owned_units.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibCore/logging.h"
@@ -11,6 +12,20 @@
 constexpr milliseconds kHandoverTimeout{500};
 constexpr milliseconds kHandoverRetryDelay{100};
 
+/// Shard of the key that an override was split off for; nothing when the unit is a shard.
+std::optional<std::uint32_t> ShardOfOverride(const ControlState& state, const UnitId& id) {
+  const auto service = state.services_.find(id.service_);
+  if (id.unit_ < kFirstOverrideUnit || service == state.services_.end()) {
+    return std::nullopt;
+  }
+  for (const auto& [key_hash, item] : service->second.overrides_) {
+    if (item.unit_ == id.unit_) {
+      return static_cast<std::uint32_t>(key_hash % service->second.shards_.size());
+    }
+  }
+  return std::nullopt;
+}
+
 std::string Describe(const UnitId& unit, Offset token) {
   return unit.service_ + "/" + std::to_string(unit.unit_) + " under token " + std::to_string(token);
 }
@@ -59,12 +74,15 @@
   std::vector<UnitId> gone;
   for (const auto& [id, held] : units_) {
     const Unit* unit = FindUnit(*snapshot_->state_, id);
+    // A newer token of the same owner continues its tenure unless it has released the unit.
     const bool owner = unit != nullptr && unit->owner_ == snapshot_->own_session_ &&
-                       unit->token_ == held.token_;
+                       unit->token_ >= held.token_ && !released_.contains(id);
     const bool successor = unit != nullptr && unit->move_ &&
                            unit->move_->to_ == snapshot_->own_session_ &&
                            unit->move_->token_ == held.token_;
-    if (snapshot_->own_session_.empty() || (!owner && !successor)) {
+    const bool releasing =
+        unit != nullptr && unit->owner_ == snapshot_->own_session_ && unit->token_ == held.token_;
+    if (snapshot_->own_session_.empty() || (!owner && !successor && !releasing)) {
       gone.push_back(id);
     }
   }
@@ -94,26 +112,56 @@
     }
     released_.erase(released);
   }
-  if (!units_.contains(id)) {
+  const auto held = units_.find(id);
+  if (held == units_.end()) {
     Acquire(id, unit);
+  } else if (held->second.token_ != unit.token_) {
+    Keep(id, held->second, unit.token_);
   }
   if (unit.move_ && units_.contains(id)) {
     StartRelease(id, *unit.move_);
   }
 }
 
-void OwnedUnits::Acquire(const UnitId& id, const Unit& unit) {
+OwnedUnits::OwnedUnit& OwnedUnits::Open(const UnitId& id, Offset token) {
   OwnedUnit& held = units_[id];
+  held = OwnedUnit{};
   held.position_ = StartChart(chart_);
-  held.token_ = unit.token_;
+  held.token_ = token;
+  held.tenure_ = next_tenure_++;
+  held.split_from_ = ShardOfOverride(*snapshot_->state_, id);
   units_changed_ = true;
-  if (unit.inherited_from_.empty()) {
-    OpenUnit(table_, id, false, WallNow(), TableTerms());
-    Advance(id, held, "assigned_new");
+  return held;
+}
+
+void OwnedUnits::Acquire(const UnitId& id, const Unit& unit) {
+  OwnedUnit& held = Open(id, unit.token_);
+  if (!unit.inherited_from_.empty()) {
+    OpenUnit(table_, id, true, WallNow(), TableTerms());
+    Advance(id, held, "assigned");
+    Recover(id, unit);
     return;
   }
-  OpenUnit(table_, id, true, WallNow(), TableTerms());
-  Advance(id, held, "assigned");
+  if (!StartFromShard(id, held)) {
+    OpenUnit(table_, id, false, WallNow(), TableTerms());
+  }
+  Advance(id, held, "assigned_new");
+}
+
+bool OwnedUnits::StartFromShard(const UnitId& id, OwnedUnit& held) {
+  if (!held.split_from_) {
+    return false;
+  }
+  // Ids of the key ran under the shard until now, so the override starts with the shard's table;
+  // without that table nothing is known of them.
+  const UnitId shard{id.service_, *held.split_from_};
+  const bool complete = units_.contains(shard) && IsComplete(table_, shard);
+  OpenUnit(table_, id, !complete, WallNow(), TableTerms());
+  AdoptEntries(table_, id, EntriesOf(shard), WallNow(), TableTerms());
+  return true;
+}
+
+void OwnedUnits::Recover(const UnitId& id, const Unit& unit) {
   copies_.Recover(
       unit.inherited_from_, id, unit.inherited_token_,
       [this, id, token = unit.token_](bool complete, const std::vector<TableEntry>& entries) {
@@ -129,13 +177,23 @@
                            Describe(id, token) + (complete ? ", complete." : ", incomplete."));
         if (found->second.position_.state_ == "recovering") {
           Advance(id, found->second, "recovered");
-          AnnounceServing(id, found->second);
         }
-        units_changed_ = true;
         UnitsChanged();
       });
 }
 
+void OwnedUnits::Keep(const UnitId& id, OwnedUnit& held, Offset token) {
+  LogInfo(kPart, "Keeping " + Describe(id, held.token_) + "; its token is now " +
+                     std::to_string(token) + ".");
+  held.token_ = token;
+  held.move_.reset();
+  held.announced_ = false;
+  units_changed_ = true;
+  if (held.position_.state_ == "releasing") {
+    Advance(id, held, "kept");
+  }
+}
+
 void OwnedUnits::StartRelease(const UnitId& id, const PendingMove& move) {
   OwnedUnit& unit = units_.at(id);
   if (unit.position_.state_ == "releasing") {
@@ -172,30 +230,29 @@
   if (target == nullptr) {
     return;
   }
-  const auto table = table_.units_.find(id);
   Handover handover;
   handover.unit_ = id;
   handover.token_ = unit.move_->token_;
-  handover.complete_ = table != table_.units_.end() && !table->second.unknown_until_;
+  handover.complete_ = IsComplete(table_, id);
   handover.entries_ = EntriesOf(id);
   unit.handover_running_ = true;
   // From here on the target may serve, whether or not its confirmation arrives.
   released_[id] = unit.move_->token_;
-  peers_.Request(target->join_.traffic_address_, std::move(handover), kHandoverTimeout,
-                 [this, id, token = unit.move_->token_](const Result<TrafficMessage>& reply) {
-                   const auto found = units_.find(id);
-                   if (found == units_.end() || !found->second.move_ ||
-                       found->second.move_->token_ != token) {
-                     return;
-                   }
-                   found->second.handover_running_ = false;
-                   if (reply) {
-                     FinishRelease(id, token);
-                     return;
-                   }
-                   LogWarning(kPart, "Hand-over is not confirmed: " + ToString(reply.error()));
-                   loop_.StartTimer(kHandoverRetryDelay, [this, id] { TryHandover(id); });
-                 });
+  peers_.Request(
+      target->join_.traffic_address_, std::move(handover), kHandoverTimeout,
+      [this, id, token = unit.move_->token_](const Result<TrafficMessage>& reply) {
+        const auto found = units_.find(id);
+        if (found == units_.end() || !found->second.move_ || found->second.move_->token_ != token) {
+          return;
+        }
+        found->second.handover_running_ = false;
+        if (reply) {
+          FinishRelease(id, token);
+          return;
+        }
+        LogWarning(kPart, "Hand-over is not confirmed: " + ToString(reply.error()));
+        loop_.StartTimer(kHandoverRetryDelay, [this, id] { TryHandover(id); });
+      });
 }
 
 void OwnedUnits::FinishRelease(const UnitId& id, Offset token) {
@@ -230,14 +287,11 @@
       unit->move_->to_ != snapshot_->own_session_) {
     return false;
   }
-  OwnedUnit& held = units_[id];
-  held = OwnedUnit{};
-  held.position_ = StartChart(chart_);
-  held.token_ = handover.token_;
+  released_.erase(id);
+  OwnedUnit& held = Open(id, handover.token_);
   OpenUnit(table_, id, !handover.complete_, WallNow(), TableTerms());
   AdoptEntries(table_, id, handover.entries_, WallNow(), TableTerms());
   Advance(id, held, "handed_over");
-  units_changed_ = true;
   LogInfo(kPart, "Took over " + Describe(id, held.token_) + " with " +
                      std::to_string(handover.entries_.size()) + " request ids.");
   control_.moves_taken_over_({CompletedMove{id, handover.token_}});
@@ -260,15 +314,20 @@
   return found == units_.end() ? 0 : found->second.token_;
 }
 
-Offset OwnedUnits::Pin(const UnitId& unit) {
+std::uint64_t OwnedUnits::Pin(const UnitId& unit) {
   OwnedUnit& held = units_.at(unit);
   ++held.pins_;
-  return held.token_;
+  return held.tenure_;
 }
 
-void OwnedUnits::Unpin(const UnitId& unit, Offset token, BootTime unanswered_until) {
+bool OwnedUnits::IsCurrent(const UnitId& unit, std::uint64_t tenure) const {
   const auto found = units_.find(unit);
-  if (found == units_.end() || found->second.token_ != token || found->second.pins_ == 0) {
+  return found != units_.end() && found->second.tenure_ == tenure;
+}
+
+void OwnedUnits::Unpin(const UnitId& unit, std::uint64_t tenure, BootTime unanswered_until) {
+  const auto found = units_.find(unit);
+  if (found == units_.end() || found->second.tenure_ != tenure || found->second.pins_ == 0) {
     return;
   }
   --found->second.pins_;
@@ -284,10 +343,17 @@
 
 void OwnedUnits::Drop(const UnitId& id, std::string_view reason) {
   const auto found = units_.find(id);
-  LogInfo(kPart, "Dropped " + Describe(id, found->second.token_) + ": " + std::string(reason) + ".");
+  LogInfo(kPart,
+          "Dropped " + Describe(id, found->second.token_) + ": " + std::string(reason) + ".");
   if (found->second.position_.state_ != "absent") {
     Advance(id, found->second, "lost");
   }
+  const std::optional<std::uint32_t> shard = found->second.split_from_;
+  if (shard && FindUnit(*snapshot_->state_, id) == nullptr &&
+      units_.contains(UnitId{id.service_, *shard})) {
+    // A merged key's ids are the shard's from now on.
+    AdoptEntries(table_, UnitId{id.service_, *shard}, EntriesOf(id), WallNow(), TableTerms());
+  }
   CloseUnit(table_, id);
   units_.erase(found);
   units_changed_ = true;
@@ -301,8 +367,7 @@
 }
 
 void OwnedUnits::AnnounceServing(const UnitId& id, OwnedUnit& unit) {
-  if (unit.announced_ || unit.position_.state_ != "serving" ||
-      !link_.IsGranted(id, unit.token_)) {
+  if (unit.announced_ || unit.position_.state_ != "serving" || !link_.IsGranted(id, unit.token_)) {
     return;
   }
   unit.announced_ = true;
@@ -316,11 +381,10 @@
   std::vector<TableEntry> entries;
   for (const auto& [id, unit] : units_) {
     tokens.emplace(id, unit.token_);
-    const auto table = table_.units_.find(id);
-    if (table == table_.units_.end() || table->second.unknown_until_) {
-      continue;  // An incomplete table must not pass for a complete one at the next takeover.
+    // An incomplete table must not pass for a complete one at the next takeover.
+    if (IsComplete(table_, id)) {
+      covered.emplace_back(id, unit.token_);
     }
-    covered.emplace_back(id, unit.token_);
   }
   for (const auto& [id, unit] : units_) {
     const std::vector<TableEntry> of_unit = EntriesOf(id);
--- a/Services/sassafrasbay/owned_units.h
+++ b/Services/sassafrasbay/owned_units.h
@@ -46,12 +46,14 @@
   /// Token under which the unit is held; 0 when it isn't.
   Offset TokenOf(const UnitId& unit) const;
 
-  /// Counts a request that holds the unit until Unpin with the returned token.
-  Offset Pin(const UnitId& unit);
+  /// Counts a request that holds the unit until Unpin with the returned tenure. A tenure is one
+  /// uninterrupted time of ownership by this process; tokens may change during it.
+  std::uint64_t Pin(const UnitId& unit);
+  bool IsCurrent(const UnitId& unit, std::uint64_t tenure) const;
 
   /// Ends the hold. `unanswered_until` is the expiry of a request that got no answer and may still
   /// run in the upstream: the unit is not released before.
-  void Unpin(const UnitId& unit, Offset token, BootTime unanswered_until);
+  void Unpin(const UnitId& unit, std::uint64_t tenure, BootTime unanswered_until);
 
   void OnHandover(ConnectionId connection, const Handover& handover);
 
@@ -64,6 +66,8 @@
   struct OwnedUnit {
     ChartPosition position_;
     Offset token_ = 0;
+    std::uint64_t tenure_ = 0;
+    std::optional<std::uint32_t> split_from_;  ///< Shard of a key override.
     std::uint32_t pins_ = 0;
     BootTime unanswered_until_{};
     std::optional<PendingMove> move_;
@@ -72,7 +76,11 @@
   };
 
   void Synchronize(const UnitId& id, const Unit& unit);
+  OwnedUnit& Open(const UnitId& id, Offset token);
   void Acquire(const UnitId& id, const Unit& unit);
+  bool StartFromShard(const UnitId& id, OwnedUnit& held);
+  void Recover(const UnitId& id, const Unit& unit);
+  void Keep(const UnitId& id, OwnedUnit& held, Offset token);
   void StartRelease(const UnitId& id, const PendingMove& move);
   void TryHandover(const UnitId& id);
   void SendHandover(const UnitId& id, OwnedUnit& unit);
@@ -97,10 +105,11 @@
   ControlCalls control_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   std::map<UnitId, OwnedUnit> units_;
-  std::map<UnitId, Offset> released_;  ///< Move tokens under which units were handed over.
+  std::map<UnitId, Offset> released_;           ///< Move tokens under which units were handed over.
   std::map<UnitId, Handover> early_handovers_;  ///< Received before their move was read.
   Offset grantors_changed_at_ = 0;
   bool units_changed_ = false;
+  std::uint64_t next_tenure_ = 1;
 };
 
 /// Calls `visit(id, unit)` for every shard and key override of a service.
--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -32,8 +32,8 @@
   return answer;
 }
 
-Owner::Owner(ReactorLoop& loop, SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units,
-             RequestCopies& copies, RequestTable& table, TrafficPeers& peers)
+Owner::Owner(ReactorLoop& loop, SharedState& shared, const LeaseView& lease, UpstreamLink& link,
+             OwnedUnits& units, RequestCopies& copies, RequestTable& table, TrafficPeers& peers)
     : loop_(loop),
       shared_(shared),
       lease_(lease),
@@ -81,8 +81,7 @@
 void Owner::Start(std::uint64_t number) {
   Active& active = active_.at(number);
   // The owner classifies again: its configuration may be newer than the ingress's.
-  const auto classified =
-      Classify(snapshot_->state_->configuration_, active.forward_.request_);
+  const auto classified = Classify(snapshot_->state_->configuration_, active.forward_.request_);
   if (!classified) {
     Refuse(number, 400, ToString(classified.error()));
     return;
@@ -96,7 +95,7 @@
     return;
   }
   CountRequest(load_, active.forward_.unit_, active.forward_.key_hash_);
-  active.token_ = units_.Pin(active.forward_.unit_);
+  active.tenure_ = units_.Pin(active.forward_.unit_);
   active.pinned_ = true;
   if (active.kind_ == RequestKind::kBinding && !EnterTable(number, active)) {
     return;
@@ -190,12 +189,14 @@
     return;
   }
   const BootTime expiry = LeaseEnd(lease_);
-  const bool owned = units_.TokenOf(active.forward_.unit_) == active.token_;
+  const bool owned = units_.Check(active.forward_.unit_) != OwnedUnits::Availability::kElsewhere &&
+                     units_.IsCurrent(active.forward_.unit_, active.tenure_);
   if (expiry <= now || !owned || !link_.AcceptsRequests()) {
     Refuse(number, kMisdirectedStatus, expiry <= now ? "the lease has expired" : "not the owner");
     return;
   }
   active.stage_ = Stage::kHandedOver;
+  active.token_ = units_.TokenOf(active.forward_.unit_);
   active.handed_over_at_ = now;
   active.expiry_ = expiry;
   ++active.attempts_;
@@ -397,7 +398,7 @@
 
 void Owner::FinishInTable(Active& active, const RoutedAnswer& answer) {
   const UnitId& unit = active.forward_.unit_;
-  if (active.recorded_ || units_.TokenOf(unit) != active.token_) {
+  if (active.recorded_ || !units_.IsCurrent(unit, active.tenure_)) {
     return;
   }
   active.recorded_ = true;
@@ -426,7 +427,7 @@
     loop_.Post([this] { RunNext(); });
   }
   if (active.pinned_) {
-    units_.Unpin(active.forward_.unit_, active.token_, active.unanswered_until_);
+    units_.Unpin(active.forward_.unit_, active.tenure_, active.unanswered_until_);
   }
   if (active.reply_) {
     active.reply_(answer);
--- a/Services/sassafrasbay/owner.h
+++ b/Services/sassafrasbay/owner.h
@@ -31,8 +31,8 @@
 /// The owner's side of a request: ownership, request table, admission, hand-over to the upstream.
 class Owner {
  public:
-  Owner(ReactorLoop& loop, SharedState& shared, const LeaseView& lease, UpstreamLink& link, OwnedUnits& units,
-        RequestCopies& copies, RequestTable& table, TrafficPeers& peers);
+  Owner(ReactorLoop& loop, SharedState& shared, const LeaseView& lease, UpstreamLink& link,
+        OwnedUnits& units, RequestCopies& copies, RequestTable& table, TrafficPeers& peers);
   Owner(const Owner&) = delete;
   Owner& operator=(const Owner&) = delete;
 
@@ -73,7 +73,8 @@
     BootTime deadline_{};
     Stage stage_ = Stage::kHeld;
     bool pinned_ = false;
-    Offset token_ = 0;
+    std::uint64_t tenure_ = 0;
+    Offset token_ = 0;  ///< Of the latest hand-over.
     bool admitted_ = false;
     bool in_table_ = false;
     bool recorded_ = false;  ///< The table has the outcome.
--- a/Services/sassafrasbay/planner_runner.cc
+++ b/Services/sassafrasbay/planner_runner.cc
@@ -84,8 +84,8 @@
   for (RecordBody& body :
        PlanPlacement(planner_, follower_.State(), load, terms, BootClock::now())) {
     if (const auto* moves = std::get_if<MovesStarted>(&body)) {
-      LogInfo(kPart, "Proposing " + std::to_string(moves->moves_.size()) + " moves: " +
-                         moves->reason_ + ".");
+      LogInfo(kPart, "Proposing " + std::to_string(moves->moves_.size()) +
+                         " moves: " + moves->reason_ + ".");
     }
     writer_.Write(std::move(body), LogWriter::Repeat::kNever,
                   [](Offset, const Verdict& verdict, BootTime) {
--- a/Services/sassafrasbay/request_copies.cc
+++ b/Services/sassafrasbay/request_copies.cc
@@ -55,7 +55,7 @@
     return;
   }
   for (const std::string& address : GrantorAddresses()) {
-    CopyTable table{0, own->join_.session_, own->grantors_changed_at_, units, entries};
+    CopyTable table{0, own->join_.session_, true, own->grantors_changed_at_, units, entries};
     peers_.Request(address, std::move(table), milliseconds(0), [](const auto&) {});
   }
 }
@@ -110,8 +110,7 @@
     }
     peers_.Request(session->join_.traffic_address_, TableRequest{0, ended, {{unit, token}}},
                    kRecoveryTimeout, [recovery](const Result<TrafficMessage>& reply) {
-                     const auto* table =
-                         reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
+                     const auto* table = reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
                      if (table != nullptr) {
                        recovery->Add(*table);
                      } else {
@@ -142,8 +141,8 @@
   Table& table = tables_[copy.session_];
   table.stored_at_ = now;
   auto& entries = table.entries_[copy.entry_.unit_];
-  const bool not_run = copy.entry_.phase_ == EntryPhase::kDone &&
-                       copy.entry_.answer_.outcome_ == Outcome::kNotRun;
+  const bool not_run =
+      copy.entry_.phase_ == EntryPhase::kDone && copy.entry_.answer_.outcome_ == Outcome::kNotRun;
   if (not_run) {
     entries.erase(copy.entry_.id_);
     return;
@@ -155,6 +154,7 @@
   Table fresh;
   fresh.stored_at_ = now;
   fresh.grantors_changed_at_ = table.grantors_changed_at_;
+  fresh.complete_ = table.complete_;
   fresh.units_.insert(table.units_.begin(), table.units_.end());
   for (const TableEntry& entry : table.entries_) {
     fresh.entries_[entry.unit_][entry.id_] = entry;
@@ -172,11 +172,10 @@
   }
   const Table& table = found->second;
   reply.grantors_changed_at_ = table.grantors_changed_at_;
-  reply.complete_ = true;
+  reply.complete_ = table.complete_;
   for (const auto& [unit, token] : request.units_) {
     const auto covered = table.units_.find(unit);
-    reply.complete_ =
-        reply.complete_ && covered != table.units_.end() && covered->second == token;
+    reply.complete_ = reply.complete_ && covered != table.units_.end() && covered->second == token;
     const auto entries = table.entries_.find(unit);
     if (entries == table.entries_.end()) {
       continue;
--- a/Services/sassafrasbay/request_copies.h
+++ b/Services/sassafrasbay/request_copies.h
@@ -57,6 +57,7 @@
 
  private:
   struct Table {
+    bool complete_ = false;
     Offset grantors_changed_at_ = 0;
     BootTime stored_at_{};
     std::map<UnitId, Offset> units_;
--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -111,9 +111,10 @@
 void SessionKeeper::Tick() {
   const BootTime now = BootClock::now();
   if (now - last_tick_ > kPause) {
-    LogWarning(kPart, "This process was paused for " +
-                          std::to_string(std::chrono::floor<milliseconds>(now - last_tick_).count()) +
-                          " ms.");
+    LogWarning(kPart,
+               "This process was paused for " +
+                   std::to_string(std::chrono::floor<milliseconds>(now - last_tick_).count()) +
+                   " ms.");
     RestartCounts(grantor_, now);
   }
   last_tick_ = now;
@@ -153,8 +154,8 @@
     return;
   }
   if (Acknowledge(grantor_, heartbeat, HoldsLease(), BootClock::now())) {
-    peers_.Reply(connection, HeartbeatAck{heartbeat.session_, heartbeat.epoch_,
-                                          heartbeat.sequence_, active_});
+    peers_.Reply(connection,
+                 HeartbeatAck{heartbeat.session_, heartbeat.epoch_, heartbeat.sequence_, active_});
   }
 }
 
@@ -290,8 +291,8 @@
 }
 
 bool SessionKeeper::OwnsUnits() const {
-  const auto service = follower_.State().services_.find(
-      announcement_ ? announcement_->service_ : std::string());
+  const auto service =
+      follower_.State().services_.find(announcement_ ? announcement_->service_ : std::string());
   if (service == follower_.State().services_.end()) {
     return false;
   }
@@ -309,8 +310,7 @@
 }
 
 LeaseTerms SessionKeeper::Terms() const {
-  return {shared_.settings_.lease_, shared_.settings_.heartbeat_,
-          shared_.settings_.drift_percent_};
+  return {shared_.settings_.lease_, shared_.settings_.heartbeat_, shared_.settings_.drift_percent_};
 }
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/shared_state.h
+++ b/Services/sassafrasbay/shared_state.h
@@ -32,9 +32,9 @@
 };
 
 /// The lease of the session whose snapshot the traffic thread has, read right before each hand-over
-/// to the upstream. Each session has a cell of its own: with one for the whole process, a unit of an
-/// ended session could be served under the lease of the next session until the traffic thread has
-/// taken the snapshot that says so.
+/// to the upstream. Each session has a cell of its own: with one for the whole process, a unit of
+/// an ended session could be served under the lease of the next session until the traffic thread
+/// has taken the snapshot that says so.
 struct LeaseView {
   std::shared_ptr<const LeaseCell> cell_;
 };
--- a/Services/sassafrasbay/traffic_loop.cc
+++ b/Services/sassafrasbay/traffic_loop.cc
@@ -33,12 +33,13 @@
   SASSAFRASBAY_TRY(peers_.Listen([this](ConnectionId connection, TrafficMessage message) {
     OnMessage(connection, std::move(message));
   }));
-  auto server =
-      HttpServerBuilder(loop_)
-          .Listen(shared_.settings_.callers_.host_, shared_.settings_.callers_.port_)
-          .MaxBodyBytes(shared_.settings_.max_body_bytes_)
-          .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) { OnExchange(exchange); })
-          .Build();
+  auto server = HttpServerBuilder(loop_)
+                    .Listen(shared_.settings_.callers_.host_, shared_.settings_.callers_.port_)
+                    .MaxBodyBytes(shared_.settings_.max_body_bytes_)
+                    .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
+                      OnExchange(exchange);
+                    })
+                    .Build();
   if (!server) {
     return server.error();
   }
