--- a/Services/sassafrasbay/charts.cc
+++ b/Services/sassafrasbay/charts.cc
@@ -6,10 +6,10 @@
 
 Result<Charts> LoadCharts() {
   Charts charts;
-  SASSAFRASBAY_TRY(node_lifecycle, ParseStateChart("node_lifecycle", NodeLifecycleChart()));
-  SASSAFRASBAY_TRY(unit_ownership, ParseStateChart("unit_ownership", UnitOwnershipChart()));
-  SASSAFRASBAY_TRY(upstream_health, ParseStateChart("upstream_health", UpstreamHealthChart()));
-  SASSAFRASBAY_TRY(request, ParseStateChart("request", RequestChart()));
+  SASSAFRASBAY_TRY(node_lifecycle, ParseStateChart("node_lifecycle", NodeLifecycleChartText()));
+  SASSAFRASBAY_TRY(unit_ownership, ParseStateChart("unit_ownership", UnitOwnershipChartText()));
+  SASSAFRASBAY_TRY(upstream_health, ParseStateChart("upstream_health", UpstreamHealthChartText()));
+  SASSAFRASBAY_TRY(request, ParseStateChart("request", RequestChartText()));
   charts.node_lifecycle_ = std::move(node_lifecycle);
   charts.unit_ownership_ = std::move(unit_ownership);
   charts.upstream_health_ = std::move(upstream_health);
--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -229,7 +229,8 @@
   cell_.reset();
   lease_ = HolderLease{};
   grantor_ = GrantorState{};
-  Advance("session_ended");
+  const bool upstream_only = lifecycle_.state_ == "draining" && !drain_exits_;
+  Advance(upstream_only ? "upstream_drained" : "session_ended");
   hooks_.on_session_changed_();
 }
 
