--- /dev/null
+++ b/Services/sassafrasbay/query_commands.cc
@@ -0,0 +1,151 @@
+#include <curl/curl.h>
+
+#include <array>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "LibTransport/http_client.h"
+#include "LibTransport/reactor_loop.h"
+#include "command_line.h"
+#include "commands.h"
+
+namespace sassafrasbay {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds kQueryTimeout{3000};
+
+constexpr std::string_view kStatusHelp =
+    "--node ADDRESS\n\n"
+    "Shows what a node knows: its lease, the sessions with their units, the services.\n\n"
+    "Example:\n  sassafrasbay status --node 127.0.0.1:8080\n";
+
+constexpr std::string_view kExplainHelp =
+    "--node ADDRESS --service NAME KEY\n\n"
+    "Shows which node owns a key, under which token and since which offset of the log.\n\n"
+    "Example:\n  sassafrasbay explain --node 127.0.0.1:8080 --service bench-lookup bin-17\n";
+
+/// Asks the node's operator API; nothing, with a line on standard error, when that fails.
+std::optional<json> Query(std::string_view command, const std::string& node,
+                          const std::string& path) {
+  ReactorLoop loop;
+  HttpClient client(loop, 1);
+  HttpCall call;
+  call.base_url_ = "http://" + node;
+  call.request_ = {"GET", path, {}, {}};
+  call.timeout_ = kQueryTimeout;
+  std::optional<Result<HttpResponse>> result;
+  client.Start(std::move(call), [&loop, &result](HttpResult answer) {
+    result.emplace(std::move(answer.response_));
+    loop.Stop();
+  });
+  loop.Run();
+  if (!result->has_value()) {
+    std::cerr << "sassafrasbay " << command << ": " << ToString(result->error()) << "\n";
+    return std::nullopt;
+  }
+  const HttpResponse& response = result->value();
+  json body = json::parse(response.body_, nullptr, false);
+  if (response.status_ != 200 || !body.is_object()) {
+    std::cerr << "sassafrasbay " << command << ": " << node << " answered " << response.status_
+              << ": " << response.body_ << "\n";
+    return std::nullopt;
+  }
+  return body;
+}
+
+std::string Escape(const std::string& text) {
+  char* escaped = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+  std::string result(escaped);
+  curl_free(escaped);
+  return result;
+}
+
+std::string Text(const json& object, const char* key) {
+  const auto found = object.find(key);
+  if (found == object.end()) {
+    return "-";
+  }
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+void PrintSession(const json& session) {
+  std::cout << "  " << Text(session, "node") << "  service " << Text(session, "service")
+            << "  data centre " << Text(session, "data_centre") << "  units "
+            << Text(session, "units") << "  epoch " << Text(session, "epoch")
+            << (session.value("draining", false) ? "  draining" : "") << "  grantors";
+  for (const json& grantor : session.value("grantors", json::array())) {
+    std::cout << " " << Text(grantor, "node") << (grantor.value("attested", false) ? "!" : "");
+  }
+  std::cout << "\n";
+}
+
+}  // namespace
+
+ExitCode RunStatusCommand(std::span<const char*> arguments) {
+  std::string node;
+  const std::array<CommandOption, 1> options = {{{"node", "caller address", "ADDRESS", &node}}};
+  const ParsedArguments parsed = ParseArguments(arguments, kStatusHelp, options);
+  if (!parsed.valid_) {
+    return ExitCode::kUsage;
+  }
+  if (node.empty()) {
+    std::cerr << "sassafrasbay status: --node ADDRESS is needed\n";
+    return ExitCode::kUsage;
+  }
+  const auto status = Query("status", node, "/-/status");
+  if (!status) {
+    return ExitCode::kFailure;
+  }
+  std::cout << "Node " << Text(*status, "node") << " in " << Text(*status, "data_centre")
+            << ": upstream " << Text(*status, "upstream") << ", lease for "
+            << Text(*status, "lease_remaining_ms") << " ms, units " << Text(*status, "units_held")
+            << "\nLog read up to offset " << Text(*status, "next_offset")
+            << ", configuration version " << Text(*status, "configuration_version")
+            << "\nSessions:\n";
+  for (const json& session : status->value("sessions", json::array())) {
+    PrintSession(session);
+  }
+  return ExitCode::kSuccess;
+}
+
+ExitCode RunExplainCommand(std::span<const char*> arguments) {
+  std::string node;
+  std::string service;
+  const std::array<CommandOption, 2> options = {{
+      {"node", "caller address", "ADDRESS", &node},
+      {"service", "service of the key", "NAME", &service},
+  }};
+  const ParsedArguments parsed = ParseArguments(arguments, kExplainHelp, options);
+  if (!parsed.valid_) {
+    return ExitCode::kUsage;
+  }
+  if (node.empty() || service.empty() || parsed.operands_.size() != 1) {
+    std::cerr << "sassafrasbay explain: --node, --service and one KEY are needed\n";
+    return ExitCode::kUsage;
+  }
+  const auto answer =
+      Query("explain", node,
+            "/-/explain?service=" + Escape(service) + "&key=" + Escape(parsed.operands_.front()));
+  if (!answer) {
+    return ExitCode::kFailure;
+  }
+  std::cout << "Key " << Text(*answer, "key") << " of " << Text(*answer, "service")
+            << " is in unit " << Text(*answer, "unit")
+            << (answer->value("key_override", false) ? " (its own)" : "") << ", owned by "
+            << Text(*answer, "owner") << " under token " << Text(*answer, "token")
+            << ", the log offset that assigned it.\n";
+  if (answer->contains("moving_to")) {
+    std::cout << "It is moving to " << Text(*answer, "moving_to") << " under token "
+              << Text(*answer, "move_token") << ".\n";
+  }
+  if (!answer->value("inherited_from", "").empty()) {
+    std::cout << "It was taken over from session " << Text(*answer, "inherited_from") << ".\n";
+  }
+  return ExitCode::kSuccess;
+}
+
+}  // namespace sassafrasbay
