LibConfiguration: Parse node settings and routing files

An operator corrects a file in one go, so every fault is reported with file and line; only a syntax error ends the reading of its file.

--- /dev/null
+++ b/Libraries/LibConfiguration/toml_scope.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibConfiguration/routing_configuration.h"
+
+namespace sassafrasbay {
+
+/// One table of a file together with the place where its faults are collected. Only the sources of
+/// this library include this header.
+struct TomlScope {
+  const toml::table* table_ = nullptr;  ///< Null when the table is absent or isn't a table.
+  std::string file_;
+  std::string path_;  ///< Dotted path of the table; empty for the root.
+  int line_ = 0;
+  std::vector<Fault>* faults_ = nullptr;
+};
+
+/// Inclusive bounds of a number.
+template <typename T>
+struct Range {
+  T lowest_;
+  T highest_;
+};
+
+int LineOf(const toml::node& node);
+
+/// Parses a file. A syntax error becomes a fault; the parser stops at the first one of a file.
+std::optional<toml::table> ParseToml(std::string_view file, std::string_view text,
+                                     std::vector<Fault>& faults);
+
+/// Scope of an inner table; absent tables give a scope without keys.
+TomlScope EnterTable(const TomlScope& scope, std::string_view key);
+
+/// Dotted path of a key.
+std::string PathOf(const TomlScope& scope, std::string_view key);
+
+/// Adds a fault at the line of the key, or of the table when the key is absent.
+void AddFault(const TomlScope& scope, std::string_view key, std::string_view message);
+
+bool HasFault(const TomlScope& scope, std::string_view key);
+
+void CheckKnownKeys(const TomlScope& scope, std::initializer_list<std::string_view> known);
+
+const toml::node* FindNode(const TomlScope& scope, std::string_view key);
+
+/// The following return nothing for an absent key, and nothing with a fault for a wrong one.
+std::optional<std::int64_t> ReadInteger(const TomlScope& scope, std::string_view key,
+                                        Range<std::int64_t> range);
+std::optional<double> ReadNumber(const TomlScope& scope, std::string_view key, Range<double> range);
+std::optional<std::string> ReadString(const TomlScope& scope, std::string_view key);
+
+/// Like ReadString; an absent key is a fault.
+std::optional<std::string> RequireString(const TomlScope& scope, std::string_view key);
+
+/// Reads an integer into a number or a duration; leaves it as it is without a valid value.
+template <typename T>
+void SetInteger(const TomlScope& scope, std::string_view key, Range<std::int64_t> range,
+                T& target) {
+  if (const auto value = ReadInteger(scope, key, range)) {
+    target = static_cast<T>(*value);
+  }
+}
+
+/// Whether the text has 1 to 64 letters, digits and characters of `extra`.
+bool IsName(std::string_view text, std::string_view extra);
+
+/// Orders faults by file, line and key.
+void SortFaults(std::vector<Fault>& faults);
+
+}  // namespace sassafrasbay
