--- a/Libraries/LibControl/placement.h
+++ b/Libraries/LibControl/placement.h
@@ -22,11 +22,12 @@
   std::map<std::pair<std::string, std::uint64_t>, double> hot_keys_;  ///< Service and key hash.
 };
 
-/// What the planner remembers between rounds.
+/// What the planner remembers between rounds, by service.
 struct PlannerState {
   std::map<std::string, std::vector<BootTime>> recent_moves_;
-  std::map<std::string, double> imbalance_before_;
-  std::map<std::string, int> backoff_rounds_;  ///< Rounds to skip after moves that did not help.
+  std::map<std::string, double> spread_limit_;  ///< Spread below which the latest moves helped.
+  std::map<std::string, int> futile_plans_;     ///< Consecutive plans that did not help.
+  std::map<std::string, int> backoff_rounds_;   ///< Rounds to skip after moves that did not help.
 };
 
 /// The session that plans now: the active one with the lowest id. Empty without sessions.
