--- /dev/null
+++ b/Tests/LibControl/routing_files_double.cc
@@ -0,0 +1,33 @@
+// Stands in for the parser of LibConfiguration: a file names one service and its number of shards
+// as "[services.NAME]" and "shards = N"; anything else is a fault.
+
+#include <algorithm>
+#include <sstream>
+
+#include "LibConfiguration/routing_configuration.h"
+
+namespace sassafrasbay {
+
+std::string ToString(const Fault& fault) { return fault.file_ + ": " + fault.message_; }
+
+RoutingConfigurationResult ParseRoutingFiles(std::span<const RoutingFile> files) {
+  RoutingConfigurationResult result;
+  for (const RoutingFile& file : files) {
+    std::istringstream text(file.text_);
+    std::string header;
+    std::string key;
+    std::string equals;
+    ServiceSpec spec;
+    constexpr std::string_view kPrefix = "[services.";
+    if (!(text >> header >> key >> equals >> spec.shards_) || !header.starts_with(kPrefix)) {
+      result.faults_.push_back({file.name_, 1, "", "not a service"});
+      continue;
+    }
+    spec.name_ = header.substr(kPrefix.size(), header.size() - kPrefix.size() - 1);
+    result.configuration_.services_.push_back(std::move(spec));
+  }
+  std::ranges::sort(result.configuration_.services_, {}, &ServiceSpec::name_);
+  return result;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibControl/test_lease.cc
@@ -0,0 +1,99 @@
+#define BOOST_TEST_MODULE Lease
+#include <boost/test/unit_test.hpp>
+
+#include "LibControl/control_fixtures.h"
+#include "LibControl/lease.h"
+
+namespace sassafrasbay::testing {
+namespace {
+
+BootTime At(int milliseconds_since_boot) { return BootTime(milliseconds(milliseconds_since_boot)); }
+
+TestLog Fleet() {
+  TestLog log;
+  log.Append(Join("a1", "a"));
+  log.Append(Join("b1", "b"));
+  log.Append(Join("c1", "c"));
+  return log;
+}
+
+// Guards against a lease counted from the acknowledgement's arrival, or extended by a stranger, a
+// past epoch or a late answer.
+BOOST_AUTO_TEST_CASE(LeaseIsCountedFromTheSendTime) {
+  TestLog log = Fleet();
+  const Session& own = *FindSession(log.state_, "a1");
+  HolderLease lease;
+  BOOST_TEST(ExtendByAcknowledgement(lease, own, {"a1", 1, 7, "b1"}, At(100), {}));
+  BOOST_TEST(IsHeld(lease, At(1099)));
+  BOOST_TEST(!IsHeld(lease, At(1100)));
+  BOOST_TEST(ExtendByAcknowledgement(lease, own, {"a1", 1, 6, "c1"}, At(50), {}));
+  BOOST_TEST(IsHeld(lease, At(1099)));
+  BOOST_TEST(!ExtendByAcknowledgement(lease, own, {"a1", 2, 8, "b1"}, At(900), {}));
+  BOOST_TEST(!ExtendByAcknowledgement(lease, own, {"a1", 1, 8, "x"}, At(900), {}));
+  BOOST_TEST(!ExtendByAcknowledgement(lease, own, {"b1", 1, 8, "c1"}, At(900), {}));
+  BOOST_TEST(!IsHeld(lease, At(1100)));
+  ExtendByRecord(lease, 2, At(300), {});
+  BOOST_TEST(lease.epoch_ == 2U);
+  BOOST_TEST(IsHeld(lease, At(1299)));
+}
+
+// Guards against an attestation before the stretched lease has passed, or a second one.
+BOOST_AUTO_TEST_CASE(AttestationWaitsForTheStretchedLease) {
+  TestLog log = Fleet();
+  GrantorState grantor;
+  SynchronizeGrantees(grantor, log.state_, "b1", At(0));
+  BOOST_TEST(grantor.grantees_.size() == 2U);
+  BOOST_TEST(Acknowledge(grantor, {"a1", 1, 1}, true, At(500)));
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(1099), {}).empty());
+  auto due = TakeDueAttestations(grantor, "b1", At(1100), {});
+  BOOST_REQUIRE(due.size() == 1U);
+  BOOST_TEST(due[0].session_ == "c1");
+  BOOST_TEST(due[0].grantor_ == "b1");
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(1599), {}).empty());
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(1600), {}).size() == 1U);
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(9000), {}).empty());
+}
+
+// Guards against an acknowledgement after the attestation, without an own lease, or of another
+// epoch.
+BOOST_AUTO_TEST_CASE(AttestedEpochIsNeverAcknowledged) {
+  TestLog log = Fleet();
+  GrantorState grantor;
+  SynchronizeGrantees(grantor, log.state_, "b1", At(0));
+  BOOST_TEST(!Acknowledge(grantor, {"a1", 1, 1}, false, At(10)));
+  BOOST_TEST(!Acknowledge(grantor, {"a1", 2, 1}, true, At(10)));
+  BOOST_TEST(!Acknowledge(grantor, {"x", 1, 1}, true, At(10)));
+  TakeDueAttestations(grantor, "b1", At(1100), {});
+  BOOST_TEST(!Acknowledge(grantor, {"a1", 1, 2}, true, At(1200)));
+  SynchronizeGrantees(grantor, log.state_, "b1", At(1300));
+  BOOST_TEST(!Acknowledge(grantor, {"a1", 1, 3}, true, At(1300)));
+  log.Append(SessionRenewed{"a1", 2});
+  SynchronizeGrantees(grantor, log.state_, "b1", At(1400));
+  BOOST_TEST(Acknowledge(grantor, {"a1", 2, 4}, true, At(1500)));
+}
+
+// Guards against a pause of the grantor's loop counting as silence of its grantees.
+BOOST_AUTO_TEST_CASE(PauseRestartsTheCount) {
+  TestLog log = Fleet();
+  GrantorState grantor;
+  SynchronizeGrantees(grantor, log.state_, "b1", At(0));
+  RestartCounts(grantor, At(5000));
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(6099), {}).empty());
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(6100), {}).size() == 2U);
+}
+
+// Guards against promises for sessions that this node is no grantor of, or after its own end.
+BOOST_AUTO_TEST_CASE(GranteesFollowTheLog) {
+  TestLog log = Fleet();
+  GrantorState grantor;
+  SynchronizeGrantees(grantor, log.state_, "b1", At(0));
+  log.Append(SessionEnded{"a1"});
+  SynchronizeGrantees(grantor, log.state_, "b1", At(100));
+  BOOST_TEST(!grantor.grantees_.contains("a1"));
+  log.Append(SessionEnded{"b1"});
+  SynchronizeGrantees(grantor, log.state_, "b1", At(200));
+  BOOST_TEST(grantor.grantees_.empty());
+}
+
+}  // namespace
+}  // namespace sassafrasbay::testing
--- /dev/null
+++ b/Tests/LibControl/test_placement.cc
@@ -0,0 +1,203 @@
+#define BOOST_TEST_MODULE Placement
+#include <boost/test/unit_test.hpp>
+
+#include "LibControl/control_fixtures.h"
+#include "LibControl/placement.h"
+
+namespace sassafrasbay::testing {
+namespace {
+
+BootTime At(int seconds) { return BootTime(std::chrono::seconds(seconds)); }
+
+TestLog Fleet(int sessions, int shards) {
+  TestLog log;
+  for (int i = 0; i < sessions; ++i) {
+    log.Append(Join("n" + std::to_string(i), "d" + std::to_string(i % 3)));
+  }
+  log.Publish({ServiceFile("s", shards)});
+  return log;
+}
+
+/// Starts and completes the planned moves and applies splits; returns the number of moves.
+std::size_t Execute(TestLog& log, const std::vector<RecordBody>& plan) {
+  std::size_t moves = 0;
+  for (const RecordBody& body : plan) {
+    const Offset token = log.state_.next_offset_;
+    const Verdict verdict = log.Append(body);
+    BOOST_TEST(verdict.valid_);
+    BOOST_TEST(verdict.reason_.empty());
+    if (const auto* started = std::get_if<MovesStarted>(&body)) {
+      moves += started->moves_.size();
+      for (const Move& move : started->moves_) {
+        log.Append(MovesCompleted{move.to_, {{move.unit_, token}}});
+      }
+    }
+  }
+  return moves;
+}
+
+/// Plans and executes rounds, five seconds apart, until `seconds` have passed.
+std::size_t Run(TestLog& log, PlannerState& planner, const MeasuredLoad& load,
+                const PlacementTerms& terms, int from, int seconds) {
+  std::size_t moves = 0;
+  for (int now = from; now < from + seconds; now += 5) {
+    moves += Execute(log, PlanPlacement(planner, log.state_, load, terms, At(now)));
+  }
+  return moves;
+}
+
+MeasuredLoad EvenLoad(int shards, double each) {
+  MeasuredLoad load;
+  for (int i = 0; i < shards; ++i) {
+    load.units_[{"s", static_cast<std::uint32_t>(i)}] = each;
+  }
+  return load;
+}
+
+// Guards against moves in a balanced or idle fleet, and against counts that can't be improved.
+BOOST_AUTO_TEST_CASE(BalancedFleetIsLeftAlone) {
+  for (const int shards : {1, 2, 7, 64}) {
+    TestLog log = Fleet(4, shards);
+    PlannerState planner;
+    BOOST_TEST(Run(log, planner, {}, {}, 0, 300) == 0U);
+    BOOST_TEST(Run(log, planner, EvenLoad(shards, 10), {}, 300, 300) == 0U);
+  }
+}
+
+// Guards against a newcomer without work, and against moves between the others.
+BOOST_AUTO_TEST_CASE(JoinMovesNoMoreThanAFairShare) {
+  for (const int sessions : {2, 4, 10, 40}) {
+    const int shards = sessions * 8;
+    TestLog log = Fleet(sessions, shards);
+    log.Append(Join("new", "d1"));
+    PlannerState planner;
+    const std::size_t moves = Run(log, planner, EvenLoad(shards, 10), {}, 0, 600);
+    const auto fair = static_cast<std::size_t>(shards / (sessions + 1));
+    BOOST_TEST_CONTEXT("sessions " << sessions) {
+      BOOST_TEST(CountUnits(log.state_, "new") == moves);
+      BOOST_TEST(moves >= fair / 2);
+      BOOST_TEST(moves <= fair + 1);
+    }
+  }
+}
+
+// Guards against a takeover that is followed by more moves than balance needs.
+BOOST_AUTO_TEST_CASE(LeaveMovesNothingMore) {
+  TestLog log = Fleet(5, 40);
+  log.Append(SessionEnded{"n0"});
+  PlannerState planner;
+  BOOST_TEST(Run(log, planner, EvenLoad(40, 10), {}, 0, 300) == 0U);
+}
+
+// Guards against flapping: load below the threshold triggers nothing, and moves go below it.
+BOOST_AUTO_TEST_CASE(HysteresisSeparatesTriggerAndTarget) {
+  TestLog log = Fleet(2, 20);
+  PlannerState planner;
+  MeasuredLoad load = EvenLoad(20, 10);
+  load.units_[{"s", 0}] = 45;
+  load.units_[{"s", 1}] = 8;
+  BOOST_TEST(Imbalance(log.state_, "s", load) < 1.25);
+  BOOST_TEST(Imbalance(log.state_, "s", load) > 1.15);
+  BOOST_TEST(Run(log, planner, load, {}, 0, 60) == 0U);
+  load.units_[{"s", 0}] = 80;
+  BOOST_TEST(Imbalance(log.state_, "s", load) > 1.25);
+  BOOST_TEST(Run(log, planner, load, {}, 60, 60) > 0U);
+  BOOST_TEST(Imbalance(log.state_, "s", load) <= 1.15);
+}
+
+// Guards against churn above the budget in any minute.
+BOOST_AUTO_TEST_CASE(ChurnBudgetBoundsMovesPerMinute) {
+  TestLog log = Fleet(1, 100);
+  log.Append(Join("n9", "d1"));
+  PlannerState planner;
+  PlacementTerms terms;
+  terms.moves_per_minute_ = 3;
+  BOOST_TEST(Run(log, planner, EvenLoad(100, 10), terms, 0, 60) == 3U);
+  BOOST_TEST(Run(log, planner, EvenLoad(100, 10), terms, 60, 60) == 3U);
+}
+
+// Guards against planning on loads that don't show the effect of running moves yet.
+BOOST_AUTO_TEST_CASE(RunningMovesAreWaitedFor) {
+  TestLog log = Fleet(1, 10);
+  log.Append(Join("n9", "d1"));
+  PlannerState planner;
+  const auto plan = PlanPlacement(planner, log.state_, {}, {}, At(0));
+  BOOST_REQUIRE(plan.size() == 1U);
+  log.Append(plan[0]);
+  BOOST_TEST(PlanPlacement(planner, log.state_, {}, {}, At(5)).empty());
+}
+
+// Guards against endless moves when they don't change the measured load.
+BOOST_AUTO_TEST_CASE(FutileMovesAreFollowedByPauses) {
+  PlacementTerms terms;
+  terms.moves_per_minute_ = 1000;
+  TestLog log = Fleet(2, 20);
+  PlannerState planner;
+  MeasuredLoad load = EvenLoad(20, 1);
+  for (std::uint32_t unit = 0; unit < 20; unit += 2) {
+    load.units_[{"s", unit}] = 20;
+  }
+  int plans = 0;
+  for (int round = 0; round < 100; ++round) {
+    // The plans aren't applied, so the load stays where it is.
+    plans += PlanPlacement(planner, log.state_, load, terms, At(round * 5)).empty() ? 0 : 1;
+  }
+  BOOST_TEST(plans > 1);
+  BOOST_TEST(plans <= 9);
+}
+
+// Guards against units left on a draining session that had no target when its drain began.
+BOOST_AUTO_TEST_CASE(DrainingSessionIsEvacuated) {
+  TestLog log = Fleet(1, 12);
+  log.Append(SessionDraining{"n0"});
+  log.Append(Join("n1", "d1"));
+  PlannerState planner;
+  BOOST_TEST(Execute(log, PlanPlacement(planner, log.state_, {}, {}, At(0))) == 12U);
+  BOOST_TEST(CountUnits(log.state_, "n1") == 12U);
+}
+
+// Guards against a hot key that drags its whole shard along, and overrides that stay for ever.
+BOOST_AUTO_TEST_CASE(HotKeyIsSplitMovedAloneAndMerged) {
+  TestLog log = Fleet(2, 20);
+  PlannerState planner;
+  MeasuredLoad load = EvenLoad(20, 10);
+  load.units_[{"s", 0}] = 110;
+  load.hot_keys_[{"s", 40}] = 100;
+  const auto plan = PlanPlacement(planner, log.state_, load, {}, At(0));
+  BOOST_REQUIRE(plan.size() == 1U);
+  BOOST_REQUIRE(std::holds_alternative<KeySplit>(plan[0]));
+  Execute(log, plan);
+  load.units_[{"s", 0}] = 10;
+  const auto next = PlanPlacement(planner, log.state_, load, {}, At(5));
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_REQUIRE(std::holds_alternative<MovesStarted>(next[0]));
+  const auto& moves = std::get<MovesStarted>(next[0]).moves_;
+  BOOST_TEST(moves.size() <= 5U);
+  Execute(log, next);
+  BOOST_TEST(Imbalance(log.state_, "s", load) <= 1.25);
+}
+
+// Guards against overrides that stay after their key has cooled down.
+BOOST_AUTO_TEST_CASE(ColdOverrideIsMerged) {
+  TestLog log = Fleet(2, 20);
+  log.Append(KeySplit{"s", 40, UnitAt(log.state_, 0).token_});
+  PlannerState planner;
+  BOOST_TEST(PlanPlacement(planner, log.state_, {}, {}, At(0)).empty());
+  const auto plan = PlanPlacement(planner, log.state_, EvenLoad(20, 10), {}, At(5));
+  BOOST_REQUIRE(plan.size() == 1U);
+  BOOST_TEST(std::holds_alternative<KeyMerged>(plan[0]));
+  Execute(log, plan);
+  BOOST_TEST(log.state_.services_.at("s").overrides_.empty());
+}
+
+// Guards against two planners: all nodes agree on one.
+BOOST_AUTO_TEST_CASE(LowestActiveSessionPlans) {
+  TestLog log;
+  BOOST_TEST(PlannerSession(log.state_).empty());
+  log.Append(Join("n2", "a"));
+  log.Append(Join("n1", "b"));
+  BOOST_TEST(PlannerSession(log.state_) == "n1");
+}
+
+}  // namespace
+}  // namespace sassafrasbay::testing
