LibControl: Let a key of an inherited shard be split off

Cause: after a takeover a shard keeps the session it was inherited from, so a hot key could never be split off it again. The owner starts the override from its own copy of the shard's table, incomplete parts included, so the restriction is not needed.

--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -155,12 +155,26 @@
   // Ids of the key ran under the shard until now, so the override starts with the shard's table;
   // without that table nothing is known of them.
   const UnitId shard{id.service_, *held.split_from_};
-  const bool complete = units_.contains(shard) && IsComplete(table_, shard);
-  OpenUnit(table_, id, !complete, WallNow(), TableTerms());
-  AdoptEntries(table_, id, EntriesOf(shard), WallNow(), TableTerms());
+  OpenUnit(table_, id, !units_.contains(shard), WallNow(), TableTerms());
+  MergeTable(shard, id);
   return true;
 }
 
+void OwnedUnits::MergeTable(const UnitId& from, const UnitId& to) {
+  std::vector<TableEntry> entries = EntriesOf(from);
+  for (TableEntry& entry : entries) {
+    entry.unit_ = to;
+  }
+  AdoptEntries(table_, to, entries, WallNow(), TableTerms());
+  const auto source = table_.units_.find(from);
+  if (source == table_.units_.end() || !source->second.unknown_until_) {
+    return;
+  }
+  // What is not known of the one unit's ids is not known in the merged table either.
+  std::optional<WallTime>& unknown_until = table_.units_.at(to).unknown_until_;
+  unknown_until = std::max(unknown_until.value_or(WallTime{}), *source->second.unknown_until_);
+}
+
 void OwnedUnits::Recover(const UnitId& id, const Unit& unit) {
   copies_.Recover(
       unit.inherited_from_, id, unit.inherited_token_,
@@ -352,7 +366,7 @@
   if (shard && FindUnit(*snapshot_->state_, id) == nullptr &&
       units_.contains(UnitId{id.service_, *shard})) {
     // A merged key's ids are the shard's from now on.
-    AdoptEntries(table_, UnitId{id.service_, *shard}, EntriesOf(id), WallNow(), TableTerms());
+    MergeTable(id, UnitId{id.service_, *shard});
   }
   CloseUnit(table_, id);
   units_.erase(found);
--- a/Services/sassafrasbay/owned_units.h
+++ b/Services/sassafrasbay/owned_units.h
@@ -79,6 +79,7 @@
   OwnedUnit& Open(const UnitId& id, Offset token);
   void Acquire(const UnitId& id, const Unit& unit);
   bool StartFromShard(const UnitId& id, OwnedUnit& held);
+  void MergeTable(const UnitId& from, const UnitId& to);
   void Recover(const UnitId& id, const Unit& unit);
   void Keep(const UnitId& id, OwnedUnit& held, Offset token);
   void StartRelease(const UnitId& id, const PendingMove& move);
--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -1,6 +1,7 @@
 #include "owner.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 #include "LibCore/logging.h"
@@ -59,6 +60,10 @@
   const std::uint64_t number = next_number_++;
   Active& active = active_[number];
   active.forward_ = std::move(forward);
+  // UUIDs are compared without case.
+  for (char& letter : active.forward_.idempotency_key_) {
+    letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
   active.reply_ = std::move(reply);
   active.deadline_ = BootClock::now() + milliseconds(active.forward_.remaining_ms_);
   if (stopped_ || withdrawing_ || !link_.AcceptsRequests() || !snapshot_) {
@@ -529,6 +534,7 @@
 
 void Owner::OnUpstreamStarted() {
   withdrawing_ = false;
+  stopped_ = false;
   AdmissionTerms terms;
   terms.slots_ = link_.Announcement()->slots_;
   terms.queue_length_ = static_cast<std::uint32_t>(shared_.settings_.queue_length_);
--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -229,28 +229,30 @@
   cell_.reset();
   lease_ = HolderLease{};
   grantor_ = GrantorState{};
-  const bool upstream_only = lifecycle_.state_ == "draining" && !drain_exits_;
-  Advance(upstream_only ? "upstream_drained" : "session_ended");
+  Advance("session_ended");
   hooks_.on_session_changed_();
 }
 
 void SessionKeeper::OnUpstreamWithdrawn() {
   announcement_.reset();
-  if (lifecycle_.state_ == "serving") {
+  if (lifecycle_.state_ == "serving" || lifecycle_.state_ == "yielding") {
     Advance("upstream_lost");
   }
   EndSession();
 }
 
 void SessionKeeper::RequestDrain(bool exit) {
+  const bool already_exiting = drain_exits_;
   drain_exits_ = drain_exits_ || exit;
+  if (!already_exiting && (exit || lifecycle_.state_ == "serving")) {
+    Advance(exit ? "drain_requested" : "upstream_draining");
+  }
   if (drain_started_ != BootTime{}) {
     return;
   }
   drain_started_ = BootClock::now();
   stop_owning_sent_ = false;
-  Advance("drain_requested");
-  LogInfo(kPart, "Draining.");
+  LogInfo(kPart, exit ? "Draining to exit." : "Draining for the upstream.");
   if (!active_.empty()) {
     writer_.Write(SessionDraining{active_}, LogWriter::Repeat::kUntilSeen,
                   [](Offset, const Verdict&, BootTime) {});
--- a/Tests/LibControl/control_fixtures.cc
+++ b/Tests/LibControl/control_fixtures.cc
@@ -3,8 +3,12 @@
 namespace sassafrasbay::testing {
 
 RoutingFile ServiceFile(std::string_view service, int shards) {
-  return {std::string(service) + ".toml",
-          "[services." + std::string(service) + "]\nshards = " + std::to_string(shards) + "\n"};
+  const std::string name(service);
+  return {name + ".routing.toml",
+          "[service." + name + "]\nshards = " + std::to_string(shards) +
+              "\nkey = { from = \"path\", segment = 1 }\n[[service." + name +
+              ".class]]\nname = \"all\"\nmethod = \"*\"\npath_prefix = \"/" + name +
+              "/\"\nkind = \"idempotent\"\n"};
 }
 
 SessionJoined Join(std::string_view session, std::string_view data_centre,
