--- a/Libraries/LibCore/logging.cc
+++ b/Libraries/LibCore/logging.cc
@@ -96,7 +96,7 @@
 void WriteSummaries(const std::vector<SuppressedLines>& suppressed) {
   for (const SuppressedLines& entry : suppressed) {
     Write(LogLevel::kWarning, entry.part_,
-          "suppressed " + std::to_string(entry.lines_) + " lines over the limit per second");
+          "lines suppressed over the limit per second: " + std::to_string(entry.lines_));
   }
 }
 
--- a/Tests/LibCore/test_logging.cc
+++ b/Tests/LibCore/test_logging.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE Logging
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <iostream>
 #include <regex>
 #include <sstream>
@@ -86,6 +87,22 @@
   BOOST_TEST(!AdmitLine(bound, "lease", At(7001)).write_);
 }
 
+// Guards against the summary being computed but never written.
+BOOST_AUTO_TEST_CASE(SummaryLineSaysHowManyLinesWereSuppressed) {
+  InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 0});
+  const CapturedErrorStream captured;
+  LogInfo("placement", "suppressed");
+  InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1001));
+  LogInfo("lease", "first line of a later second");
+  const auto lines = captured.Lines();
+  BOOST_REQUIRE(lines.size() == 2U);
+  BOOST_TEST(
+      lines.front().ends_with(" WARNING [placement] lines suppressed over the limit per second: 1"),
+      "got: " << lines.front());
+  BOOST_TEST(lines.back().ends_with(" INFO [lease] first line of a later second"));
+}
+
 // Guards against lines that are mixed up or lost when both threads of a node log.
 BOOST_AUTO_TEST_CASE(ConcurrentLinesStayWhole) {
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 100000});
