LibConfiguration: Add advertised addresses and the checkpoint interval

Nodes behind an address translation, or a fault proxy in tests, announce another address than they listen on.

--- a/Libraries/LibConfiguration/node_settings.cc
+++ b/Libraries/LibConfiguration/node_settings.cc
@@ -70,12 +70,9 @@
   ReadName(scope, "region", settings.region_);
 }
 
-void ReadListenAddress(const TomlScope& scope, std::string_view key, Endpoint& target) {
-  const auto text = RequireString(scope, key);
-  if (!text.has_value()) {
-    return;
-  }
-  Endpoint endpoint = ParseEndpoint(*text);
+void SetAddress(const TomlScope& scope, std::string_view key, const std::string& text,
+                Endpoint& target) {
+  Endpoint endpoint = ParseEndpoint(text);
   if (endpoint.host_.empty() || endpoint.port_ == 0) {
     AddFault(scope, key, "must be a numeric address with a port, such as \"127.0.0.1:8080\"");
     return;
@@ -83,6 +80,21 @@
   target = std::move(endpoint);
 }
 
+void ReadListenAddress(const TomlScope& scope, std::string_view key, Endpoint& target) {
+  if (const auto text = RequireString(scope, key)) {
+    SetAddress(scope, key, *text, target);
+  }
+}
+
+/// An address given to other nodes: the listening one unless another is set.
+void ReadAdvertisedAddress(const TomlScope& scope, std::string_view key, const Endpoint& listening,
+                           Endpoint& target) {
+  target = listening;
+  if (const auto text = ReadString(scope, key)) {
+    SetAddress(scope, key, *text, target);
+  }
+}
+
 bool Overlap(const Endpoint& left, const Endpoint& right) {
   if (left.host_.empty() || right.host_.empty() || left.port_ != right.port_) {
     return false;
@@ -117,6 +129,14 @@
   CheckDistinct(scope, "control", settings.control_, "traffic", settings.traffic_);
 }
 
+void ReadAdvertise(const TomlScope& root, NodeSettings& settings) {
+  const TomlScope scope = EnterTable(root, "advertise");
+  CheckKnownKeys(scope, {"callers", "traffic", "control"});
+  ReadAdvertisedAddress(scope, "callers", settings.callers_, settings.advertised_callers_);
+  ReadAdvertisedAddress(scope, "traffic", settings.traffic_, settings.advertised_traffic_);
+  ReadAdvertisedAddress(scope, "control", settings.control_, settings.advertised_control_);
+}
+
 bool IsLogUrl(std::string_view url) {
   constexpr std::string_view kScheme = "http://";
   if (!url.starts_with(kScheme)) {
@@ -137,7 +157,8 @@
 
 void ReadLog(const TomlScope& root, NodeSettings& settings) {
   const TomlScope scope = EnterTable(root, "log");
-  CheckKnownKeys(scope, {"url"});
+  CheckKnownKeys(scope, {"url", "checkpoint_records"});
+  SetInteger(scope, "checkpoint_records", {10, 100000}, settings.checkpoint_records_);
   const auto url = RequireString(scope, "url");
   if (!url.has_value()) {
     return;
@@ -303,10 +324,11 @@
                        .path_ = {},
                        .line_ = 0,
                        .faults_ = &result.faults_};
-  CheckKnownKeys(root, {"node", "listen", "log", "logging", "peers", "lease", "drain", "requests",
-                        "placement"});
+  CheckKnownKeys(root, {"node", "listen", "advertise", "log", "logging", "peers", "lease", "drain",
+                        "requests", "placement"});
   ReadNode(root, result.settings_);
   ReadListen(root, result.settings_);
+  ReadAdvertise(root, settings);
   ReadLog(root, result.settings_);
   ReadLogging(root, result.settings_);
   ReadPeers(root, result.settings_);
