--- /dev/null
+++ b/Libraries/LibTransport/http_server.cc
@@ -0,0 +1,363 @@
+#include "LibTransport/http_server.h"
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <unordered_set>
+#include <utility>
+
+#include "LibTransport/http_exchange.h"
+#include "LibTransport/listen_socket.h"
+
+namespace sassafrasbay {
+namespace {
+
+// Bounds the request line and all headers; libmicrohttpd answers 431 beyond it.
+constexpr std::size_t kConnectionMemoryBytes = 32U << 10U;
+// Frees connections of callers that vanished without closing. Suspended connections are exempt.
+constexpr unsigned kIdleTimeoutSeconds = 120;
+// libmicrohttpd can't answer in the middle of a body, so the rest of an oversize chunked body is
+// read and dropped, up to this multiple of the bound.
+constexpr std::size_t kDiscardFactor = 4;
+
+constexpr int kContentTooLarge = 413;
+
+class Server final : public HttpServer, public ExchangeOwner {
+ public:
+  Server(ReactorLoop& loop, std::size_t max_body_bytes, HttpHandler handler)
+      : loop_(loop), max_body_bytes_(max_body_bytes), handler_(std::move(handler)) {}
+  ~Server() override;
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  Result<void> Start(int listen_socket, unsigned max_connections);
+  void StopAccepting() override;
+  std::size_t OpenExchanges() const override { return open_exchanges_; }
+  std::uint16_t Port() const override { return port_; }
+  ReactorLoop& Loop() { return loop_; }
+
+  MHD_Result OnAccess(const ExchangePointer& exchange, MHD_Connection* connection,
+                      const char* method, std::string_view upload, size_t* upload_size);
+  void OnCompleted(Exchange& exchange);
+  void Resume(Exchange& exchange) override;
+
+ private:
+  MHD_Result BeginRequest(Exchange& exchange, const char* method);
+  MHD_Result ReceiveBody(Exchange& exchange, std::string_view upload, size_t* upload_size);
+  MHD_Result Dispatch(const ExchangePointer& exchange);
+  MHD_Result SendAnswer(Exchange& exchange);
+  MHD_Result Refuse(Exchange& exchange, int status);
+  void WatchCaller(const ExchangePointer& exchange);
+  void CheckCaller(const ExchangePointer& exchange, int socket);
+  void RunDaemon();
+  void ScheduleRun();
+  void ScheduleTimeout();
+
+  ReactorLoop& loop_;
+  std::size_t max_body_bytes_;
+  HttpHandler handler_;
+  MHD_Daemon* daemon_ = nullptr;
+  int epoll_descriptor_ = -1;
+  std::uint16_t port_ = 0;
+  bool accepting_ = true;
+  std::size_t open_exchanges_ = 0;
+  std::unordered_set<Exchange*> suspended_;
+  bool run_posted_ = false;
+  ReactorLoop::TimerId timer_ = 0;
+  BootTime timer_expiry_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
+};
+
+int SocketOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info == nullptr ? -1 : info->connect_fd;
+}
+
+// The unparsed URI is only available here: libmicrohttpd decodes the path it passes to the handler.
+void* OnUri(void* server, const char* uri, MHD_Connection* connection) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->owner_ = static_cast<Server*>(server);
+  exchange->loop_ = &static_cast<Server*>(server)->Loop();
+  exchange->connection_ = connection;
+  exchange->request_.path_ = uri;
+  return new ExchangePointer(std::move(exchange));
+}
+
+MHD_Result OnAccess(void* server, MHD_Connection* connection, const char*, const char* method,
+                    const char*, const char* upload, size_t* upload_size, void** context) {
+  const auto* exchange = static_cast<ExchangePointer*>(*context);
+  return static_cast<Server*>(server)->OnAccess(
+      *exchange, connection, method, std::string_view(upload, *upload_size), upload_size);
+}
+
+void OnCompleted(void* server, MHD_Connection*, void** context, MHD_RequestTerminationCode) {
+  auto* exchange = static_cast<ExchangePointer*>(*context);
+  if (exchange == nullptr) {
+    return;
+  }
+  static_cast<Server*>(server)->OnCompleted(**exchange);
+  delete exchange;
+  *context = nullptr;
+}
+
+void OnConnection(void*, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code) {
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    SetNoDelay(SocketOf(connection));
+  }
+}
+
+Result<void> Server::Start(int listen_socket, unsigned max_connections) {
+  port_ = BoundPort(listen_socket);
+  daemon_ = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &sassafrasbay::OnAccess, this,
+      MHD_OPTION_LISTEN_SOCKET, listen_socket, MHD_OPTION_CONNECTION_LIMIT, max_connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
+      kIdleTimeoutSeconds, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, this, MHD_OPTION_NOTIFY_COMPLETED,
+      &sassafrasbay::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, nullptr,
+      MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    const int number = errno;
+    close(listen_socket);
+    return SystemError(number, "start HTTP server", std::to_string(port_));
+  }
+  epoll_descriptor_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  return loop_.Watch(epoll_descriptor_, static_cast<unsigned>(Readiness::kRead),
+                     [this](unsigned) { RunDaemon(); });
+}
+
+Server::~Server() {
+  *alive_ = false;
+  loop_.CancelTimer(timer_);
+  if (daemon_ == nullptr) {
+    return;
+  }
+  loop_.Unwatch(epoll_descriptor_);
+  // libmicrohttpd aborts when it is stopped while a connection is suspended.
+  for (Exchange* exchange : std::exchange(suspended_, {})) {
+    loop_.Unwatch(SocketOf(exchange->connection_));
+    exchange->phase_ = Phase::kClosed;
+    MHD_resume_connection(exchange->connection_);
+  }
+  MHD_stop_daemon(daemon_);
+}
+
+void Server::StopAccepting() {
+  if (!accepting_) {
+    return;
+  }
+  accepting_ = false;
+  const int listen_socket = MHD_quiesce_daemon(daemon_);
+  if (listen_socket >= 0) {
+    close(listen_socket);
+  }
+}
+
+MHD_Result Server::OnAccess(const ExchangePointer& exchange, MHD_Connection* connection,
+                            const char* method, std::string_view upload, size_t* upload_size) {
+  if (!exchange->started_) {
+    exchange->connection_ = connection;
+    return BeginRequest(*exchange, method);
+  }
+  if (!upload.empty()) {
+    return ReceiveBody(*exchange, upload, upload_size);
+  }
+  if (exchange->too_large_) {
+    return Refuse(*exchange, kContentTooLarge);
+  }
+  if (!exchange->dispatched_) {
+    return Dispatch(exchange);
+  }
+  return exchange->phase_ == Phase::kAnswered ? SendAnswer(*exchange) : MHD_NO;
+}
+
+MHD_Result Server::BeginRequest(Exchange& exchange, const char* method) {
+  exchange.started_ = true;
+  exchange.request_.method_ = method;
+  exchange.request_.headers_ = ReadHeaders(exchange.connection_);
+  const std::string_view length = FindHeader(exchange.request_.headers_, "Content-Length");
+  std::size_t bytes = 0;
+  std::from_chars(length.data(), length.data() + length.size(), bytes);
+  if (bytes > max_body_bytes_) {
+    return Refuse(exchange, kContentTooLarge);
+  }
+  exchange.request_.body_.reserve(bytes);
+  return MHD_YES;
+}
+
+MHD_Result Server::ReceiveBody(Exchange& exchange, std::string_view upload, size_t* upload_size) {
+  *upload_size = 0;
+  exchange.received_bytes_ += upload.size();
+  if (exchange.received_bytes_ <= max_body_bytes_) {
+    exchange.request_.body_.append(upload);
+    return MHD_YES;
+  }
+  exchange.too_large_ = true;
+  exchange.request_.body_.clear();
+  return exchange.received_bytes_ > max_body_bytes_ * kDiscardFactor ? MHD_NO : MHD_YES;
+}
+
+MHD_Result Server::Dispatch(const ExchangePointer& exchange) {
+  exchange->dispatched_ = true;
+  exchange->phase_ = Phase::kWaiting;
+  ++open_exchanges_;
+  handler_(MakeExchangeHandle(exchange));
+  if (exchange->phase_ == Phase::kAnswered) {
+    return SendAnswer(*exchange);
+  }
+  exchange->suspended_ = true;
+  suspended_.insert(exchange.get());
+  MHD_suspend_connection(exchange->connection_);
+  WatchCaller(exchange);
+  return MHD_YES;
+}
+
+MHD_Result Server::SendAnswer(Exchange& exchange) {
+  const int status = exchange.response_.status_;
+  const bool valid = status >= MHD_HTTP_OK && status < 600;
+  MHD_Response* response = MakeResponse(exchange.response_);
+  if (!accepting_) {
+    MHD_add_response_header(response, "Connection", "close");
+  }
+  const auto code = static_cast<unsigned>(valid ? status : MHD_HTTP_INTERNAL_SERVER_ERROR);
+  const MHD_Result result = MHD_queue_response(exchange.connection_, code, response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+MHD_Result Server::Refuse(Exchange& exchange, int status) {
+  exchange.response_ = HttpResponse{status, {}, "request body is too large\n"};
+  return SendAnswer(exchange);
+}
+
+void Server::OnCompleted(Exchange& exchange) {
+  if (exchange.dispatched_) {
+    --open_exchanges_;
+  }
+  exchange.phase_ = Phase::kClosed;
+  exchange.connection_ = nullptr;
+  // The callback may own the handler's end of the exchange.
+  const auto callback = std::exchange(exchange.on_abandoned_, nullptr);
+}
+
+// libmicrohttpd doesn't look at the socket of a suspended connection.
+void Server::WatchCaller(const ExchangePointer& exchange) {
+  const int socket = SocketOf(exchange->connection_);
+  const Result<void> watched =
+      loop_.Watch(socket, static_cast<unsigned>(Readiness::kRead),
+                  [this, exchange, socket](unsigned) { CheckCaller(exchange, socket); });
+  // Without the watch the caller's disconnect shows when the answer is sent.
+  static_cast<void>(watched);
+}
+
+void Server::CheckCaller(const ExchangePointer& exchange, int socket) {
+  char byte = 0;
+  const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    return;
+  }
+  // A pipelined request stays readable until this one is answered.
+  loop_.Unwatch(socket);
+  if (count > 0) {
+    return;
+  }
+  exchange->phase_ = Phase::kAbandoned;
+  exchange->abandoned_ = true;
+  Resume(*exchange);
+  if (const auto callback = std::exchange(exchange->on_abandoned_, nullptr)) {
+    callback();
+  }
+}
+
+void Server::Resume(Exchange& exchange) {
+  if (!exchange.suspended_) {
+    return;
+  }
+  exchange.suspended_ = false;
+  suspended_.erase(&exchange);
+  loop_.Unwatch(SocketOf(exchange.connection_));
+  MHD_resume_connection(exchange.connection_);
+  ScheduleRun();
+}
+
+void Server::RunDaemon() {
+  MHD_run(daemon_);
+  ScheduleTimeout();
+}
+
+// Several answers given in one round of the loop share one run.
+void Server::ScheduleRun() {
+  if (run_posted_) {
+    return;
+  }
+  run_posted_ = true;
+  loop_.Post([this, alive = alive_] {
+    if (*alive) {
+      run_posted_ = false;
+      RunDaemon();
+    }
+  });
+}
+
+void Server::ScheduleTimeout() {
+  MHD_UNSIGNED_LONG_LONG wait = 0;
+  if (MHD_get_timeout(daemon_, &wait) != MHD_YES) {
+    return;
+  }
+  if (wait == 0) {
+    ScheduleRun();
+    return;
+  }
+  // A timer that fires too early only runs the daemon once more, which is cheaper than moving the
+  // timer after each run.
+  const BootTime expiry = BootClock::now() + milliseconds(wait);
+  if (timer_ != 0 && timer_expiry_ <= expiry) {
+    return;
+  }
+  loop_.CancelTimer(timer_);
+  timer_expiry_ = expiry;
+  timer_ = loop_.StartTimer(milliseconds(wait), [this] {
+    timer_ = 0;
+    RunDaemon();
+  });
+}
+
+}  // namespace
+
+HttpServerBuilder::HttpServerBuilder(ReactorLoop& loop) : loop_(loop) {}
+
+HttpServerBuilder& HttpServerBuilder::Listen(std::string_view host, std::uint16_t port) {
+  host_ = host;
+  port_ = port;
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::MaxBodyBytes(std::size_t bytes) {
+  max_body_bytes_ = bytes;
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::MaxConnections(unsigned connections) {
+  max_connections_ = connections;
+  return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::OnRequest(HttpHandler handler) {
+  handler_ = std::move(handler);
+  return *this;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServerBuilder::Build() {
+  SASSAFRASBAY_TRY(listen_socket, OpenListenSocket(host_, port_));
+  auto server = std::make_unique<Server>(loop_, max_body_bytes_, handler_);
+  const Result<void> started = server->Start(listen_socket, max_connections_);
+  if (!started) {
+    return started.error();
+  }
+  return std::unique_ptr<HttpServer>(std::move(server));
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibTransport/listen_socket.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "LibCore/error.h"
+
+namespace sassafrasbay {
+
+/// Opens a non-blocking listening TCP socket on a numeric host; port 0 chooses a free one.
+Result<int> OpenListenSocket(std::string_view host, std::uint16_t port);
+
+/// Port that the socket is bound to.
+std::uint16_t BoundPort(int socket);
+
+/// Disables Nagle's algorithm, which would delay small messages behind unacknowledged ones.
+void SetNoDelay(int socket);
+
+/// The system's error as an Error with its step and peer.
+Error SystemError(int number, std::string_view step, std::string_view peer);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibTransport/test_http_server.cc
@@ -0,0 +1,227 @@
+#define BOOST_TEST_MODULE HttpServer
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "LibTransport/http_server.h"
+#include "LibTransport/loopback.h"
+
+namespace sassafrasbay {
+namespace {
+
+using ExchangePointer = std::shared_ptr<HttpExchange>;
+
+std::unique_ptr<HttpServer> StartServer(ReactorLoop& loop, HttpHandler handler) {
+  auto server = HttpServerBuilder(loop).MaxBodyBytes(100000).OnRequest(std::move(handler)).Build();
+  BOOST_REQUIRE(server.has_value());
+  return std::move(server.value());
+}
+
+std::string GetText(std::string_view path) {
+  return "GET " + std::string(path) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+// Guards against the path losing its query or its escapes, and against lost headers or body.
+BOOST_AUTO_TEST_CASE(RequestReachesTheHandlerInFull) {
+  ReactorLoop loop;
+  HttpRequest seen;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    seen = exchange->Request();
+    exchange->Respond(HttpResponse{201, {{"X-Answer", "yes"}, {"Content-Length", "1"}}, "done."});
+  });
+  std::string answer;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(
+        "POST /a%2Fb?q=1&r=%20 HTTP/1.1\r\nHost: a\r\nX-One: 1\r\nContent-Length: 3\r\n\r\n");
+    caller.Send("xyz");
+    answer = caller.ReadUntil("done.");
+  });
+  BOOST_TEST(seen.method_ == "POST");
+  BOOST_TEST(seen.path_ == "/a%2Fb?q=1&r=%20");
+  BOOST_TEST(seen.body_ == "xyz");
+  BOOST_TEST(FindHeader(seen.headers_, "x-one") == "1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 201"));
+  BOOST_TEST(answer.find("X-Answer: yes") != std::string::npos);
+  BOOST_TEST(answer.find("Content-Length: 5") != std::string::npos);
+}
+
+// Guards against a late answer being lost, and against a connection closed between two requests.
+BOOST_AUTO_TEST_CASE(LateAnswersOnOneKeptConnection) {
+  constexpr int kRequests = 20;
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    loop.StartTimer(milliseconds(2), [exchange] {
+      exchange->Respond(HttpResponse{200, {}, exchange->Request().path_ + "!"});
+    });
+  });
+  int answered = 0;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string path = "/" + std::to_string(i);
+      caller.Send(GetText(path));
+      const std::string answer = caller.ReadUntil("!");
+      answered += answer.ends_with(path + "!") ? 1 : 0;
+    }
+  });
+  BOOST_TEST(answered == kRequests);
+  // The caller can read the last answer before the server has finished the exchange.
+  loop.StartTimer(milliseconds(20), [&] { loop.Stop(); });
+  RunGuarded(loop);
+  BOOST_TEST(server->OpenExchanges() == 0U);
+}
+
+// Guards against pipelined requests being taken for a disconnect or being lost.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
+  ReactorLoop loop;
+  int abandoned = 0;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    exchange->OnAbandoned([&] { ++abandoned; });
+    loop.StartTimer(milliseconds(20), [exchange] {
+      exchange->Respond(HttpResponse{200, {}, "<" + exchange->Request().path_ + ">"});
+    });
+  });
+  std::string answer;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/1") + GetText("/2"));
+    answer = caller.ReadUntil("</2>");
+  });
+  BOOST_TEST(answer.find("</1>") != std::string::npos);
+  BOOST_TEST(answer.find("</2>") != std::string::npos);
+  BOOST_TEST(abandoned == 0);
+}
+
+// Guards against a caller's disconnect staying unnoticed while its request is open.
+BOOST_AUTO_TEST_CASE(DisconnectIsReportedWhileWaiting) {
+  ReactorLoop loop;
+  std::atomic<bool> received = false;
+  std::atomic<bool> abandoned = false;
+  ExchangePointer open;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    open = exchange;
+    exchange->OnAbandoned([&] { abandoned = true; });
+    received = true;
+  });
+  RunWithPeer(loop, [&] {
+    LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/"));
+    for (int i = 0; i < 5000 && !received; ++i) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    caller.Close();
+    for (int i = 0; i < 5000 && !abandoned; ++i) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  });
+  BOOST_TEST(abandoned.load());
+  // An answer after the disconnect is ignored, and a late registration is still told.
+  open->Respond(HttpResponse{200, {}, {}});
+  bool told_late = false;
+  open->OnAbandoned([&] {
+    told_late = true;
+    loop.Stop();
+  });
+  RunGuarded(loop);
+  BOOST_TEST(told_late);
+}
+
+// Guards against oversize bodies or headers reaching the handler.
+BOOST_AUTO_TEST_CASE(OversizeRequestsAreRefused) {
+  ReactorLoop loop;
+  int handled = 0;
+  const auto server = StartServer(loop, [&](const ExchangePointer&) { ++handled; });
+  std::string declared;
+  std::string chunked;
+  std::string headers;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket first(LoopbackSocket::ConnectTo(server->Port()));
+    first.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n");
+    declared = first.ReadUntil("\r\n\r\n");
+    const LoopbackSocket second(LoopbackSocket::ConnectTo(server->Port()));
+    second.Send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n186A1\r\n");
+    second.Send(std::string(100001, 'x') + "\r\n0\r\n\r\n");
+    chunked = second.ReadUntil("\r\n\r\n");
+    const LoopbackSocket third(LoopbackSocket::ConnectTo(server->Port()));
+    third.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(40000, 'x') + "\r\n\r\n");
+    headers = third.ReadUntil("\r\n\r\n");
+  });
+  BOOST_TEST(declared.starts_with("HTTP/1.1 413"));
+  BOOST_TEST(chunked.starts_with("HTTP/1.1 413"));
+  BOOST_TEST(headers.starts_with("HTTP/1.1 431"));
+  BOOST_TEST(handled == 0);
+}
+
+// Guards against a caller waiting forever for a request that its handler dropped.
+BOOST_AUTO_TEST_CASE(DroppedExchangeIsAnswered) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [](const ExchangePointer&) {});
+  std::string answer;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/"));
+    answer = caller.ReadUntil("\r\n\r\n");
+  });
+  BOOST_TEST(answer.starts_with("HTTP/1.1 500"));
+}
+
+// Guards against a drain that cuts an open exchange or still accepts connections.
+BOOST_AUTO_TEST_CASE(OpenExchangeIsAnsweredAfterStopAccepting) {
+  ReactorLoop loop;
+  std::unique_ptr<HttpServer> server;
+  server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    server->StopAccepting();
+    loop.StartTimer(milliseconds(20), [exchange] {
+      exchange->Respond(HttpResponse{200, {}, "late"});
+    });
+  });
+  std::string answer;
+  bool refused = false;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/"));
+    answer = caller.ReadUntil("late");
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server->Port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    refused = connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0;
+    close(descriptor);
+  });
+  BOOST_TEST(answer.ends_with("late"));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+  BOOST_TEST(refused);
+}
+
+// Guards against a crash when the server goes before its open exchanges.
+BOOST_AUTO_TEST_CASE(ExchangeOutlivesTheServer) {
+  ReactorLoop loop;
+  ExchangePointer open;
+  auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    open = exchange;
+    loop.Stop();
+  });
+  const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+  caller.Send(GetText("/"));
+  RunGuarded(loop);
+  server.reset();
+  BOOST_REQUIRE(open != nullptr);
+  open->Respond(HttpResponse{200, {}, "too late"});
+  BOOST_TEST(caller.IsClosedByPeer());
+}
+
+// Guards against a busy port being reported as success.
+BOOST_AUTO_TEST_CASE(BusyPortIsAnError) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [](const ExchangePointer&) {});
+  const auto second = HttpServerBuilder(loop).Listen("127.0.0.1", server->Port()).Build();
+  BOOST_REQUIRE(!second.has_value());
+  BOOST_TEST((second.error().code_ == std::errc::address_in_use));
+}
+
+}  // namespace
+}  // namespace sassafrasbay
