--- a/Libraries/LibConfiguration/node_settings.cc
+++ b/Libraries/LibConfiguration/node_settings.cc
@@ -328,7 +328,7 @@
                         "requests", "placement"});
   ReadNode(root, result.settings_);
   ReadListen(root, result.settings_);
-  ReadAdvertise(root, settings);
+  ReadAdvertise(root, result.settings_);
   ReadLog(root, result.settings_);
   ReadLogging(root, result.settings_);
   ReadPeers(root, result.settings_);
