LibRouting: Let an incomplete table become complete with age

Once the whole unknown window is older than the retention, a successor needs no window of its own; without this each move of the unit would open a new window.

--- a/Libraries/LibRouting/request_table.cc
+++ b/Libraries/LibRouting/request_table.cc
@@ -186,9 +186,16 @@
   }
 }
 
-bool IsComplete(const RequestTable& table, const UnitId& unit) {
+bool IsComplete(const RequestTable& table, const UnitId& unit, WallTime now,
+                const RequestTableTerms& terms) {
   const auto found = table.units_.find(unit);
-  return found != table.units_.end() && !found->second.unknown_until_.has_value();
+  if (found == table.units_.end()) {
+    return false;
+  }
+  // Once the whole window is older than the retention on every node's clock, its ids are refused
+  // as too old anyway, and a successor needs no window of its own.
+  const std::optional<WallTime>& until = found->second.unknown_until_;
+  return !until.has_value() || *until + terms.retention_ + terms.clock_allowance_ < now;
 }
 
 std::vector<TableEntry> CloseUnit(RequestTable& table, const UnitId& unit) {
--- a/Libraries/LibRouting/request_table.h
+++ b/Libraries/LibRouting/request_table.h
@@ -72,9 +72,10 @@
 /// Declares the table of the unit complete: every id that ever ran and is retained is in it.
 void MarkComplete(RequestTable& table, const UnitId& unit);
 
-/// Whether an id that is absent from the table and still retained has certainly not run. Copies and
+/// Whether every absent id that a node would still take for new has certainly not run. Copies and
 /// hand-overs carry this.
-bool IsComplete(const RequestTable& table, const UnitId& unit);
+bool IsComplete(const RequestTable& table, const UnitId& unit, WallTime now,
+                const RequestTableTerms& terms);
 
 /// Removes the unit's table and returns its entries, for a hand-over.
 std::vector<TableEntry> CloseUnit(RequestTable& table, const UnitId& unit);
