--- /dev/null
+++ b/Tests/Integration/harness/support.cc
@@ -0,0 +1,98 @@
+#include "harness/support.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "StandIns/blocking_client.h"
+
+namespace sassafrasbay::harness {
+namespace {
+
+constexpr std::uint16_t kFirstPort = 10000;
+constexpr std::uint16_t kLastPort = 32000;
+constexpr milliseconds kPollInterval{20};
+
+bool CanListen(std::uint16_t port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool free =
+      bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+  close(descriptor);
+  return free;
+}
+
+}  // namespace
+
+std::uint16_t FreePort() {
+  static std::set<std::uint16_t> used;
+  static std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<std::uint16_t> ports(kFirstPort, kLastPort);
+  while (true) {
+    const std::uint16_t port = ports(random);
+    if (!used.contains(port) && CanListen(port)) {
+      used.insert(port);
+      return port;
+    }
+  }
+}
+
+std::string LocalUrl(std::uint16_t port) { return "http://" + LocalAddress(port); }
+
+std::string LocalAddress(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+bool WaitUntil(const std::function<bool()>& condition, milliseconds limit) {
+  const BootTime end = BootClock::now() + limit;
+  while (!condition()) {
+    if (BootClock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+Result<HttpResponse> Call(std::uint16_t port, const HttpRequest& request, milliseconds timeout) {
+  return stand_ins::CallBlocking(LocalUrl(port), request, timeout);
+}
+
+int CallStatus(std::uint16_t port, std::string_view method, std::string_view path,
+               std::string_view body) {
+  const auto response = Call(port, {std::string(method), std::string(path), {}, std::string(body)});
+  return response ? response.value().status_ : 0;
+}
+
+nlohmann::json GetJson(std::uint16_t port, std::string_view path) {
+  const auto response = Call(port, {"GET", std::string(path), {}, {}});
+  const bool answered = response && response.value().status_ == 200;
+  return nlohmann::json::parse(answered ? response.value().body_ : "", nullptr, false);
+}
+
+TemporaryDirectory::TemporaryDirectory() {
+  std::string name = (std::filesystem::temp_directory_path() / "sassafrasbay-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    std::perror("mkdtemp");
+    std::abort();
+  }
+  path_ = name;
+}
+
+TemporaryDirectory::~TemporaryDirectory() {
+  if (std::getenv("SASSAFRASBAY_KEEP") != nullptr) {
+    std::fprintf(stderr, "kept %s\n", path_.c_str());
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+}  // namespace sassafrasbay::harness
--- /dev/null
+++ b/Tests/StandIns/upstream_state.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/http_message.h"
+
+namespace sassafrasbay::stand_ins {
+
+struct UpstreamOptions {
+  int port_ = 0;
+  int admin_port_ = 0;
+  std::string service_ = "service";
+  std::string node_;  ///< "host:port" of the node's caller port; empty for no announcements.
+  bool checks_grants_ = false;
+  int slots_ = 20;
+  int service_ms_ = 5;
+  int cold_ms_ = 0;
+  std::string record_file_;
+};
+
+/// What the upstream knows of one unit.
+struct Grant {
+  std::uint64_t token_ = 0;
+  std::int64_t expires_ms_ = 0;  ///< CLOCK_BOOTTIME.
+};
+
+/// State of the upstream stand-in; every function below locks the mutex itself.
+struct UpstreamState {
+  UpstreamOptions options_;
+  int record_descriptor_ = -1;
+  std::int64_t started_ms_ = 0;
+
+  std::mutex mutex_;
+  std::map<std::uint32_t, Grant> grants_;
+  std::map<std::string, std::uint64_t, std::less<>> writes_;  ///< PUT and POST count of each key.
+  std::vector<nlohmann::json> runs_;
+  std::vector<nlohmann::json> grant_records_;
+  std::set<std::string, std::less<>> cancelled_;  ///< Request ids.
+  int running_ = 0;
+};
+
+/// A request that was admitted, or why it was not.
+struct Admission {
+  std::optional<std::size_t> run_;  ///< Index in runs_.
+  std::uint64_t writes_ = 0;
+  int status_ = 0;
+  std::string reason_;
+};
+
+/// Checks slots, grant, token and deadline, and records the start of the run.
+Admission StartRun(UpstreamState& state, const HttpRequest& request);
+
+/// Records the end of the run and frees its slot.
+void EndRun(UpstreamState& state, std::size_t run);
+
+/// Applies the body of PUT /-/grants and records it. False when the body is malformed or the token
+/// of any unit would decrease; nothing is applied then.
+bool ApplyGrants(UpstreamState& state, std::string_view body);
+
+/// Milliseconds of CLOCK_BOOTTIME.
+std::int64_t NowMs();
+
+}  // namespace sassafrasbay::stand_ins
