--- a/Tests/StandIns/upstream_stand_in.cc
+++ b/Tests/StandIns/upstream_stand_in.cc
@@ -89,6 +89,7 @@
   const json body = {
       {"upstream", state.options_.port_},
       {"key", WithoutQuery(request.path_)},
+      {"target", request.path_},
       {"idempotency_key", FindHeader(request.headers_, "Idempotency-Key")},
       {"request_id", FindHeader(request.headers_, "Sassafrasbay-Request-Id")},
       {"writes", writes},
@@ -157,8 +158,9 @@
 }
 
 void AnnounceForever(const UpstreamOptions& options) {
+  const int port = options.advertised_port_ == 0 ? options.port_ : options.advertised_port_;
   const json body = {{"service", options.service_},
-                     {"address", "127.0.0.1:" + std::to_string(options.port_)},
+                     {"address", "127.0.0.1:" + std::to_string(port)},
                      {"checks_grants", options.checks_grants_},
                      {"slots", options.slots_},
                      {"connections", kConnections}};
@@ -179,6 +181,7 @@
   const poptOption table[] = {
       {"port", 0, POPT_ARG_INT, &options.port_, 0, "port of the service", "PORT"},
       {"admin-port", 0, POPT_ARG_INT, &options.admin_port_, 0, "port of the records", "PORT"},
+      {"advertised-port", 0, POPT_ARG_INT, &options.advertised_port_, 0, "of a proxy", "PORT"},
       {"service", 0, POPT_ARG_STRING, &service, 0, "name of the service", "NAME"},
       {"node", 0, POPT_ARG_STRING, &node, 0, "caller port of its node", "HOST:PORT"},
       {"checks-grants", 0, POPT_ARG_NONE, &checks_grants, 0, "refuse without a grant", nullptr},
--- a/Tests/StandIns/upstream_state.h
+++ b/Tests/StandIns/upstream_state.h
@@ -17,6 +17,7 @@
 struct UpstreamOptions {
   int port_ = 0;
   int admin_port_ = 0;
+  int advertised_port_ = 0;  ///< Announced instead of port_, for a proxy in between; 0 is port_.
   std::string service_ = "service";
   std::string node_;  ///< "host:port" of the node's caller port; empty for no announcements.
   bool checks_grants_ = false;
