LibControl: Let grantors wait for the lease of their grantee

Cause: a grantor waited for the lease of its own settings, so two nodes with different settings could both own a unit. Change: a session announces its lease when it joins, and its grantors wait for that one. After: it attests after 3300 ms.

--- a/Libraries/LibControl/cbor_fields.h
+++ b/Libraries/LibControl/cbor_fields.h
@@ -61,6 +61,7 @@
   visit("checks_grants", value.checks_grants_);
   visit("slots", value.slots_);
   visit("connections", value.connections_);
+  visit("lease_ms", value.lease_ms_);
 }
 
 void Fields(auto& visit, Is<SessionRenewed> auto& value) {
--- a/Libraries/LibControl/lease.cc
+++ b/Libraries/LibControl/lease.cc
@@ -52,7 +52,7 @@
       continue;
     }
     const auto known = grantor.grantees_.find(id);
-    Grantee grantee{session.epoch_, now, false};
+    Grantee grantee{session.epoch_, now, false, milliseconds(session.join_.lease_ms_)};
     if (known != grantor.grantees_.end() && known->second.epoch_ == session.epoch_) {
       grantee = known->second;
     }
@@ -77,7 +77,8 @@
                                                BootTime now, const LeaseTerms& terms) {
   std::vector<LapseAttested> due;
   for (auto& [id, grantee] : grantor.grantees_) {
-    if (!grantee.attestation_sent_ && now - grantee.promised_at_ >= StretchedLease(terms)) {
+    const LeaseTerms grantee_terms{grantee.lease_, terms.heartbeat_, terms.drift_percent_};
+    if (!grantee.attestation_sent_ && now - grantee.promised_at_ >= StretchedLease(grantee_terms)) {
       grantee.attestation_sent_ = true;
       due.push_back({id, grantee.epoch_, SessionId(own)});
     }
--- a/Libraries/LibControl/lease.h
+++ b/Libraries/LibControl/lease.h
@@ -55,6 +55,7 @@
   std::uint64_t epoch_ = 0;
   BootTime promised_at_{};  ///< Latest acknowledgement, or when the role was read from the log.
   bool attestation_sent_ = false;
+  milliseconds lease_{1000};  ///< By which the grantee serves.
 };
 
 struct GrantorState {
--- a/Libraries/LibControl/records.h
+++ b/Libraries/LibControl/records.h
@@ -43,6 +43,9 @@
   bool checks_grants_ = false;
   std::uint32_t slots_ = 0;
   std::uint32_t connections_ = 0;
+  /// Lease by which the session serves. Its grantors wait for this one, whatever their own
+  /// settings.
+  std::uint32_t lease_ms_ = 1000;
 };
 
 struct SessionRenewed {
--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -77,6 +77,7 @@
   join.checks_grants_ = announcement_->checks_grants_;
   join.slots_ = announcement_->slots_;
   join.connections_ = announcement_->connections_;
+  join.lease_ms_ = static_cast<std::uint32_t>(shared_.settings_.lease_.count());
   writer_.Write(join, LogWriter::Repeat::kUntilSeen,
                 [this, session = joining_](Offset, const Verdict& verdict, BootTime sent_at) {
                   OnJoinVerdict(session, verdict, sent_at);
--- a/Tests/LibControl/test_lease.cc
+++ b/Tests/LibControl/test_lease.cc
@@ -95,5 +95,20 @@
   BOOST_TEST(grantor.grantees_.empty());
 }
 
+// Guards against a grantor with a shorter lease in its settings ending the lease of a session that
+// serves by a longer one.
+BOOST_AUTO_TEST_CASE(GrantorWaitsForTheLeaseOfItsGrantee) {
+  TestLog log;
+  SessionJoined join = Join("a1", "a");
+  join.lease_ms_ = 3000;
+  log.Append(join);
+  log.Append(Join("b1", "b"));
+  GrantorState grantor;
+  SynchronizeGrantees(grantor, log.state_, "b1", At(0));
+  const LeaseTerms shorter{milliseconds(500), milliseconds(100), 10};
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(3299), shorter).empty());
+  BOOST_TEST(TakeDueAttestations(grantor, "b1", At(3300), shorter).size() == 1U);
+}
+
 }  // namespace
 }  // namespace sassafrasbay::testing
--- a/Tests/LibRouting/message_samples.h
+++ b/Tests/LibRouting/message_samples.h
@@ -99,7 +99,10 @@
     case 5:
       return CopyConfirm{number};
     case 6:
-      return TableRequest{number, RandomSession(random), {RandomUnit(random), RandomUnit(random)}};
+      return TableRequest{
+          number,
+          RandomSession(random),
+          {{RandomUnit(random), RandomNumber(random)}, {RandomUnit(random), RandomNumber(random)}}};
     case 7:
       return TableReply{number, RandomSession(random), Pick(random, 2) == 1, RandomNumber(random),
                         RandomEntries(random)};
