--- /dev/null
+++ b/Libraries/LibTransport/http_client.cc
@@ -0,0 +1,256 @@
+#include "LibTransport/http_client.h"
+
+#include <curl/curl.h>
+
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "LibTransport/http_call.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr unsigned kReadBit = static_cast<unsigned>(Readiness::kRead);
+constexpr unsigned kWriteBit = static_cast<unsigned>(Readiness::kWrite);
+
+// Idle connections kept over all hosts. The default, four per running transfer, would close warm
+// connections after each burst.
+constexpr long kCachedConnections = 512;  // NOLINT(google-runtime-int): libcurl's type
+
+// Transfer handles kept for reuse; each holds buffers of about 16 KiB.
+constexpr std::size_t kSpareHandles = 64;
+
+void InitializeCurl() {
+  static const CURLcode kStatus = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(kStatus);
+}
+
+unsigned ToInterest(int what) {
+  unsigned interest = 0;
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) {
+    interest |= kReadBit;
+  }
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) {
+    interest |= kWriteBit;
+  }
+  return interest;
+}
+
+int ToSelectBits(unsigned ready) {
+  int bits = 0;
+  if ((ready & kReadBit) != 0) {
+    bits |= CURL_CSELECT_IN;
+  }
+  if ((ready & kWriteBit) != 0) {
+    bits |= CURL_CSELECT_OUT;
+  }
+  return bits;
+}
+
+}  // namespace
+
+struct HttpClient::Impl {
+  Impl(ReactorLoop& loop, int max_connections_per_host);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  CallId Start(HttpCall call, Callback callback);
+  void Cancel(CallId id);
+  void Act(curl_socket_t socket, int bits);
+  void CollectFinished();
+  void Finish(CallState& state, CURLcode code);
+  void FailLater(CallId id);
+  void Release(CallState& state);
+  void SetTimeout(long wait_ms);  // NOLINT(google-runtime-int): libcurl's type
+  CURL* TakeHandle();
+
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* context, void* data);
+  static int OnTimeout(CURLM* multi, long wait_ms, void* context);  // NOLINT(google-runtime-int)
+
+  ReactorLoop& loop_;
+  CURLM* multi_;
+  std::unordered_map<CallId, std::unique_ptr<CallState>> calls_;
+  std::vector<CURL*> spare_;
+  CallId last_id_ = 0;
+  ReactorLoop::TimerId timer_ = 0;
+  bool action_posted_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
+};
+
+int HttpClient::Impl::OnSocket(CURL*, curl_socket_t socket, int what, void* context, void*) {
+  auto* impl = static_cast<Impl*>(context);
+  if (what == CURL_POLL_REMOVE) {
+    impl->loop_.Unwatch(socket);
+    return 0;
+  }
+  const Result<void> watched =
+      impl->loop_.Watch(socket, ToInterest(what),
+                        [impl, socket](unsigned ready) { impl->Act(socket, ToSelectBits(ready)); });
+  return watched ? 0 : -1;
+}
+
+int HttpClient::Impl::OnTimeout(CURLM*, long wait_ms, void* context) {  // NOLINT
+  static_cast<Impl*>(context)->SetTimeout(wait_ms);
+  return 0;
+}
+
+HttpClient::Impl::Impl(ReactorLoop& loop, int max_connections_per_host) : loop_(loop) {
+  InitializeCurl();
+  multi_ = curl_multi_init();
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimeout);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(max_connections_per_host));  // NOLINT
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kCachedConnections);
+}
+
+HttpClient::Impl::~Impl() {
+  *alive_ = false;
+  for (const auto& [id, state] : calls_) {
+    Release(*state);
+  }
+  for (CURL* easy : spare_) {
+    curl_easy_cleanup(easy);
+  }
+  curl_multi_cleanup(multi_);
+  loop_.CancelTimer(timer_);
+}
+
+HttpClient::CallId HttpClient::Impl::Start(HttpCall call, Callback callback) {
+  const CallId id = ++last_id_;
+  auto& state = *(calls_[id] = std::make_unique<CallState>());
+  state.id_ = id;
+  state.call_ = std::move(call);
+  state.callback_ = std::move(callback);
+  const Result<void> checked = CheckRequest(state.call_);
+  if (!checked) {
+    state.start_error_ = checked.error();
+    FailLater(id);
+    return id;
+  }
+  state.easy_ = TakeHandle();
+  PrepareTransfer(state);
+  curl_multi_add_handle(multi_, state.easy_);
+  return id;
+}
+
+void HttpClient::Impl::FailLater(CallId id) {
+  loop_.Post([this, id, alive = alive_] {
+    const auto entry = *alive ? calls_.find(id) : calls_.end();
+    if (!*alive || entry == calls_.end()) {
+      return;
+    }
+    const std::unique_ptr<CallState> state = std::move(entry->second);
+    calls_.erase(entry);
+    state->callback_(HttpResult{std::move(*state->start_error_), false});
+  });
+}
+
+void HttpClient::Impl::Cancel(CallId id) {
+  const auto entry = calls_.find(id);
+  if (entry == calls_.end()) {
+    return;
+  }
+  const std::unique_ptr<CallState> state = std::move(entry->second);
+  calls_.erase(entry);
+  Release(*state);
+}
+
+void HttpClient::Impl::Act(curl_socket_t socket, int bits) {
+  int running = 0;
+  curl_multi_socket_action(multi_, socket, bits, &running);
+  CollectFinished();
+}
+
+// Callbacks may start and cancel calls or destroy the client, so each message is read anew.
+void HttpClient::Impl::CollectFinished() {
+  const std::shared_ptr<bool> alive = alive_;
+  int remaining = 0;
+  while (*alive) {
+    const CURLMsg* message = curl_multi_info_read(multi_, &remaining);
+    if (message == nullptr) {
+      return;
+    }
+    if (message->msg == CURLMSG_DONE) {
+      const CURLcode code = message->data.result;
+      CallState* state = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &state);
+      Finish(*state, code);
+    }
+  }
+}
+
+void HttpClient::Impl::Finish(CallState& state, CURLcode code) {
+  HttpResult result = FinishTransfer(state, code);
+  const auto entry = calls_.find(state.id_);
+  const std::unique_ptr<CallState> owned = std::move(entry->second);
+  calls_.erase(entry);
+  Release(state);
+  owned->callback_(std::move(result));
+}
+
+void HttpClient::Impl::Release(CallState& state) {
+  if (state.easy_ == nullptr) {
+    return;
+  }
+  curl_multi_remove_handle(multi_, state.easy_);
+  curl_easy_reset(state.easy_);
+  curl_slist_free_all(state.headers_);
+  if (spare_.size() < kSpareHandles) {
+    spare_.push_back(state.easy_);
+  } else {
+    curl_easy_cleanup(state.easy_);
+  }
+  state.easy_ = nullptr;
+  state.headers_ = nullptr;
+}
+
+// libcurl must not be entered again from this callback, also when the wait is zero.
+void HttpClient::Impl::SetTimeout(long wait_ms) {  // NOLINT(google-runtime-int)
+  loop_.CancelTimer(std::exchange(timer_, 0));
+  if (wait_ms < 0) {
+    return;
+  }
+  if (wait_ms > 0) {
+    timer_ = loop_.StartTimer(milliseconds(wait_ms), [this] {
+      timer_ = 0;
+      Act(CURL_SOCKET_TIMEOUT, 0);
+    });
+    return;
+  }
+  if (std::exchange(action_posted_, true)) {
+    return;
+  }
+  loop_.Post([this, alive = alive_] {
+    if (*alive) {
+      action_posted_ = false;
+      Act(CURL_SOCKET_TIMEOUT, 0);
+    }
+  });
+}
+
+CURL* HttpClient::Impl::TakeHandle() {
+  if (spare_.empty()) {
+    return curl_easy_init();
+  }
+  CURL* easy = spare_.back();
+  spare_.pop_back();
+  return easy;
+}
+
+HttpClient::HttpClient(ReactorLoop& loop, int max_connections_per_host)
+    : impl_(std::make_unique<Impl>(loop, max_connections_per_host)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::Start(HttpCall call, Callback callback) {
+  return impl_->Start(std::move(call), std::move(callback));
+}
+
+void HttpClient::Cancel(CallId call) { impl_->Cancel(call); }
+
+}  // namespace sassafrasbay
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -36,7 +36,7 @@
   using CallId = std::uint64_t;  ///< 0 is never a call.
   using Callback = std::function<void(HttpResult)>;
 
-  HttpClient(ReactorLoop& loop, long max_connections_per_host);
+  HttpClient(ReactorLoop& loop, int max_connections_per_host);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
