--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -247,7 +247,7 @@
   Handover handover;
   handover.unit_ = id;
   handover.token_ = unit.move_->token_;
-  handover.complete_ = IsComplete(table_, id);
+  handover.complete_ = IsComplete(table_, id, WallNow(), TableTerms());
   handover.entries_ = EntriesOf(id);
   unit.handover_running_ = true;
   // From here on the target may serve, whether or not its confirmation arrives.
@@ -396,7 +396,7 @@
   for (const auto& [id, unit] : units_) {
     tokens.emplace(id, unit.token_);
     // An incomplete table must not pass for a complete one at the next takeover.
-    if (IsComplete(table_, id)) {
+    if (IsComplete(table_, id, WallNow(), TableTerms())) {
       covered.emplace_back(id, unit.token_);
     }
   }
