LibRouting: Keep byte strings out of the CBOR parser

The library reads byte strings byte by byte into a growing vector. The structure check now replaces each by an empty one tagged with its index, and the content is copied once, from the frame into the message. The number of items of a frame is bounded too, since a frame of single bytes would grow to several hundred megabytes of values.

--- a/Libraries/LibRouting/cbor_fields.cc
+++ b/Libraries/LibRouting/cbor_fields.cc
@@ -13,6 +13,10 @@
 /// Deepest nesting of a message: map, array of entries, entry, array of headers.
 constexpr std::size_t kMaxDepth = 6;
 
+/// Most items of a frame. Table entries of the smallest size fill the largest frame with some
+/// 600,000; without a bound one frame of single bytes would grow to several hundred megabytes.
+constexpr std::size_t kMaxItems = 1U << 20U;
+
 struct Header {
   unsigned major_ = 0;
   unsigned information_ = 0;
@@ -51,38 +55,77 @@
   return (header.information_ >= 20 && header.information_ <= 22) || header.information_ >= 25;
 }
 
+/// State of a scan over a frame.
+struct Scan {
+  std::string_view frame_;
+  std::size_t position_ = 0;
+  std::size_t depth_ = 0;
+  std::array<std::uint64_t, kMaxDepth + 1> remaining_{1};  ///< Items left at each depth.
+  std::size_t items_ = 0;
+  std::vector<std::string_view> strings_;  ///< Contents of the byte strings, in order.
+  std::string rest_;                       ///< The frame with a mark for each byte string.
+  std::size_t copied_ = 0;                 ///< Position up to which `rest_` has the frame.
+};
+
+/// Replaces a byte string that starts at `start` by an empty one whose tag is its index. Frames
+/// can't hold tags of their own, since the scan refuses them.
+void MarkByteString(Scan& scan, std::size_t start, std::string_view content) {
+  static constexpr char kTagOfFourBytes = static_cast<char>(0xDA);
+  static constexpr char kEmptyByteString = 0x40;
+  scan.rest_ += scan.frame_.substr(scan.copied_, start - scan.copied_);
+  scan.rest_ += kTagOfFourBytes;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    scan.rest_ += static_cast<char>((scan.strings_.size() >> static_cast<unsigned>(shift)) & 0xFFU);
+  }
+  scan.rest_ += kEmptyByteString;
+  scan.strings_.push_back(content);
+  scan.copied_ = scan.position_;
+}
+
+/// Passes over one item, without the items in it.
+bool ScanItem(Scan& scan) {
+  --scan.remaining_.at(scan.depth_);
+  const std::size_t start = scan.position_;
+  Header header;
+  if (++scan.items_ > kMaxItems || !ReadHeader(scan.frame_, scan.position_, header)) {
+    return false;
+  }
+  const std::size_t left = scan.frame_.size() - scan.position_;
+  if (header.major_ == 2 || header.major_ == 3) {
+    if (header.argument_ > left) {
+      return false;
+    }
+    const std::string_view content = scan.frame_.substr(scan.position_, header.argument_);
+    scan.position_ += header.argument_;
+    if (header.major_ == 2) {
+      MarkByteString(scan, start, content);
+    }
+    return true;
+  }
+  if (header.major_ == 4 || header.major_ == 5) {
+    // Each element takes at least one byte, which also bounds what the parser may reserve.
+    if (header.argument_ > left || scan.depth_ == kMaxDepth) {
+      return false;
+    }
+    scan.remaining_.at(++scan.depth_) = header.argument_ * (header.major_ == 5 ? 2 : 1);
+    return true;
+  }
+  return header.major_ < 2 || (header.major_ == 7 && IsKnownSimple(header));
+}
+
 /// Checks the structure without building values. The library's parser recurses for nested arrays
 /// and for chunked strings, so that a small frame could exhaust the stack; frames with deep
 /// nesting, chunks or tags are refused here before it sees them.
-bool IsWellFormed(std::string_view frame) {
-  std::array<std::uint64_t, kMaxDepth + 1> remaining{1};
-  std::size_t depth = 0;
-  std::size_t position = 0;
+bool IsWellFormed(Scan& scan) {
   while (true) {
-    while (remaining.at(depth) == 0) {
-      if (depth == 0) {
-        return position == frame.size();
+    while (scan.remaining_.at(scan.depth_) == 0) {
+      if (scan.depth_ == 0) {
+        scan.rest_ += scan.frame_.substr(scan.copied_);
+        return scan.position_ == scan.frame_.size();
       }
-      --depth;
-    }
-    --remaining.at(depth);
-    Header header;
-    if (!ReadHeader(frame, position, header)) {
-      return false;
+      --scan.depth_;
     }
-    const std::uint64_t left = frame.size() - position;
-    if (header.major_ == 2 || header.major_ == 3) {
-      if (header.argument_ > left) {
-        return false;
-      }
-      position += header.argument_;
-    } else if (header.major_ == 4 || header.major_ == 5) {
-      // Each element takes at least one byte, which also bounds what the parser may reserve.
-      if (header.argument_ > left || depth == kMaxDepth) {
-        return false;
-      }
-      remaining.at(++depth) = header.argument_ * (header.major_ == 5 ? 2 : 1);
-    } else if (header.major_ == 6 || (header.major_ == 7 && !IsKnownSimple(header))) {
+    if (!ScanItem(scan)) {
       return false;
     }
   }
@@ -101,18 +144,22 @@
   }
 }
 
-Result<Cbor> ParseFrame(std::string_view frame) {
+Result<ParsedFrame> ParseFrame(std::string_view frame) {
   if (frame.size() > kMaxFrameBytes) {
     return MakeError(Errc::kTooLarge, "decode message", "", std::to_string(frame.size()));
   }
-  if (!IsWellFormed(frame)) {
+  Scan scan;
+  scan.frame_ = frame;
+  if (!IsWellFormed(scan)) {
     return MakeError(Errc::kMalformed, "decode message", "", "not a CBOR item");
   }
   // Some faults are thrown by the library even when exceptions are switched off for the parser.
   try {
-    Cbor value = Cbor::from_cbor(frame.begin(), frame.end(), true, false);
-    if (value.is_object()) {
-      return value;
+    ParsedFrame parsed;
+    parsed.strings_ = std::move(scan.strings_);
+    parsed.fields_ = Cbor::from_cbor(scan.rest_, true, false, Cbor::cbor_tag_handler_t::store);
+    if (parsed.fields_.is_object()) {
+      return parsed;
     }
   } catch (const std::exception& exception) {
     return MakeError(Errc::kMalformed, "decode message", "", exception.what());
@@ -120,15 +167,40 @@
   return MakeError(Errc::kMalformed, "decode message", "", "not a CBOR map");
 }
 
-std::string SerializeFrame(const Cbor& value) {
+std::string SerializeFrame(const Cbor& fields) {
+  std::string frame;
+  Cbor::to_cbor(fields, frame);
+  return frame;
+}
+
+std::string SerializeFrame(const Cbor& fields, std::string_view body) {
+  static constexpr std::size_t kUsualFieldBytes = 512;
+  static constexpr unsigned kByteStringMajor = 2U << 5U;
   std::string frame;
-  Cbor::to_cbor(value, frame);
+  frame.reserve(kUsualFieldBytes + body.size());
+  Cbor::to_cbor(fields, frame);
+  // The initial byte of a small map ends with its number of fields.
+  ++frame.front();
+  Cbor::to_cbor(Cbor(kBodyField), frame);
+  // The header of a byte string is that of its length as a number, but for the major type.
+  const std::size_t header = frame.size();
+  Cbor::to_cbor(Cbor(body.size()), frame);
+  frame[header] = static_cast<char>(static_cast<unsigned char>(frame[header]) | kByteStringMajor);
+  frame += body;
   return frame;
 }
 
-FieldReader ReaderOf(Cbor& value) {
+FieldReader ReaderOf(ParsedFrame& frame) {
+  FieldReader reader;
+  reader.fields_ = frame.fields_.get_ptr<Cbor::object_t*>();
+  reader.strings_ = frame.strings_;
+  return reader;
+}
+
+FieldReader ReaderOf(Cbor& value, const FieldReader& outer) {
   FieldReader reader;
   reader.fields_ = value.get_ptr<Cbor::object_t*>();
+  reader.strings_ = outer.strings_;
   if (reader.fields_ == nullptr) {
     reader.fault_ = "map";
   }
@@ -175,11 +247,16 @@
 
 std::string TakeBytes(FieldReader& reader, std::string_view name) {
   const Cbor* value = TakeField(reader, name);
-  if (value == nullptr || !value->is_binary()) {
+  return value == nullptr ? std::string() : ToBytes(reader, name, *value);
+}
+
+std::string ToBytes(FieldReader& reader, std::string_view name, const Cbor& value) {
+  if (!value.is_binary() || !value.get_binary().has_subtype() ||
+      value.get_binary().subtype() >= reader.strings_.size()) {
     Fail(reader, name);
     return {};
   }
-  return ToBytes(value->get_binary());
+  return std::string(reader.strings_[value.get_binary().subtype()]);
 }
 
 double TakeNumber(FieldReader& reader, std::string_view name) {
--- a/Libraries/LibRouting/control_message_codec.cc
+++ b/Libraries/LibRouting/control_message_codec.cc
@@ -89,7 +89,7 @@
   message.session_ = TakeText(reader, "ss");
   message.total_ = TakeNumber(reader, "l");
   for (Cbor& item : TakeArray(reader, "us")) {
-    FieldReader fields = ReaderOf(item);
+    FieldReader fields = ReaderOf(item, reader);
     auto& [unit, load] = message.units_.emplace_back();
     unit.service_ = TakeText(fields, "s");
     Read(fields, "u", unit.unit_);
@@ -97,7 +97,7 @@
     Inherit(reader, fields);
   }
   for (Cbor& item : TakeArray(reader, "ks")) {
-    FieldReader fields = ReaderOf(item);
+    FieldReader fields = ReaderOf(item, reader);
     auto& [key_hash, load] = message.hot_keys_.emplace_back();
     Read(fields, "k", key_hash);
     load = TakeNumber(fields, "l");
@@ -113,8 +113,8 @@
 }
 
 Result<ControlMessage> DecodeControlMessage(std::string_view frame) {
-  SASSAFRASBAY_TRY(value, ParseFrame(frame));
-  FieldReader reader = ReaderOf(value);
+  SASSAFRASBAY_TRY(parsed, ParseFrame(frame));
+  FieldReader reader = ReaderOf(parsed);
   std::uint64_t type = 0;
   Read(reader, "t", type);
   ControlMessage message;
--- a/Libraries/LibRouting/traffic_message_codec.cc
+++ b/Libraries/LibRouting/traffic_message_codec.cc
@@ -44,11 +44,11 @@
   return items;
 }
 
+/// Writes all but the body.
 void WriteAnswer(Cbor& value, const RoutedAnswer& answer) {
   value["o"] = static_cast<std::uint64_t>(answer.outcome_);
   value["st"] = static_cast<std::uint64_t>(answer.response_.status_);
   value["h"] = HeadersToCbor(answer.response_.headers_);
-  value["b"] = Bytes(answer.response_.body_);
   value["r"] = Bytes(answer.reason_);
 }
 
@@ -58,6 +58,7 @@
   value["p"] = static_cast<std::uint64_t>(entry.phase_);
   if (entry.phase_ == EntryPhase::kDone) {
     WriteAnswer(value, entry.answer_);
+    value[kBodyField] = Bytes(entry.answer_.response_.body_);
   }
   return value;
 }
@@ -80,7 +81,6 @@
   value["m"] = Bytes(message.request_.method_);
   value["p"] = Bytes(message.request_.path_);
   value["h"] = HeadersToCbor(message.request_.headers_);
-  value["b"] = Bytes(message.request_.body_);
   value["ik"] = Bytes(message.idempotency_key_);
   value["ms"] = message.remaining_ms_;
   return value;
@@ -175,11 +175,7 @@
     return headers;
   }
   for (std::size_t i = 0; i < items.size(); i += 2) {
-    if (!items[i].is_binary() || !items[i + 1].is_binary()) {
-      NoteFault(reader, "h");
-      return headers;
-    }
-    headers.emplace_back(ToBytes(items[i].get_binary()), ToBytes(items[i + 1].get_binary()));
+    headers.emplace_back(ToBytes(reader, "h", items[i]), ToBytes(reader, "h", items[i + 1]));
   }
   return headers;
 }
@@ -190,13 +186,13 @@
       TakeUnsigned(reader, "o", static_cast<std::uint64_t>(Outcome::kUnknown)));
   answer.response_.status_ = static_cast<int>(TakeUnsigned(reader, "st", kMaxStatus));
   answer.response_.headers_ = ReadHeaders(reader);
-  answer.response_.body_ = TakeBytes(reader, "b");
+  answer.response_.body_ = TakeBytes(reader, kBodyField);
   answer.reason_ = TakeBytes(reader, "r");
   return answer;
 }
 
 TableEntry ReadEntry(FieldReader& outer, Cbor& value) {
-  FieldReader reader = ReaderOf(value);
+  FieldReader reader = ReaderOf(value, outer);
   TableEntry entry;
   entry.unit_ = ReadUnit(reader);
   entry.id_ = TakeBytes(reader, "i");
@@ -230,7 +226,7 @@
   message.request_.method_ = TakeBytes(reader, "m");
   message.request_.path_ = TakeBytes(reader, "p");
   message.request_.headers_ = ReadHeaders(reader);
-  message.request_.body_ = TakeBytes(reader, "b");
+  message.request_.body_ = TakeBytes(reader, kBodyField);
   message.idempotency_key_ = TakeBytes(reader, "ik");
   Read(reader, "ms", message.remaining_ms_);
   return message;
@@ -261,7 +257,7 @@
   message.complete_ = TakeFlag(reader, "co");
   Read(reader, "gc", message.grantors_changed_at_);
   for (Cbor& item : TakeArray(reader, "us")) {
-    FieldReader fields = ReaderOf(item);
+    FieldReader fields = ReaderOf(item, reader);
     auto& [unit, token] = message.units_.emplace_back();
     unit = ReadUnit(fields);
     Read(fields, "tk", token);
@@ -276,7 +272,7 @@
   Read(reader, "n", message.number_);
   message.session_ = TakeText(reader, "ss");
   for (Cbor& item : TakeArray(reader, "us")) {
-    FieldReader fields = ReaderOf(item);
+    FieldReader fields = ReaderOf(item, reader);
     message.units_.push_back(ReadUnit(fields));
     Inherit(reader, fields);
   }
@@ -360,12 +356,18 @@
 }  // namespace
 
 std::string Encode(const TrafficMessage& message) {
+  if (const auto* forward = std::get_if<Forward>(&message); forward != nullptr) {
+    return SerializeFrame(ToCbor(*forward), forward->request_.body_);
+  }
+  if (const auto* answer = std::get_if<Answer>(&message); answer != nullptr) {
+    return SerializeFrame(ToCbor(*answer), answer->answer_.response_.body_);
+  }
   return SerializeFrame(std::visit([](const auto& body) { return ToCbor(body); }, message));
 }
 
 Result<TrafficMessage> DecodeTrafficMessage(std::string_view frame) {
-  SASSAFRASBAY_TRY(value, ParseFrame(frame));
-  FieldReader reader = ReaderOf(value);
+  SASSAFRASBAY_TRY(parsed, ParseFrame(frame));
+  FieldReader reader = ReaderOf(parsed);
   std::uint64_t type = 0;
   Read(reader, "t", type);
   TrafficMessage message;
