Tests: Add the fault proxy

Partitions, one-way losses, delays and resets between parts are made by a TCP proxy. A connection that lost bytes is reset when its cut ends: its stream would otherwise continue with a hole, which no partition causes.

--- /dev/null
+++ b/Tests/StandIns/proxy_relay.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibCore/error.h"
+#include "LibTransport/reactor_loop.h"
+
+namespace sassafrasbay::stand_ins {
+
+struct ProxyFaults {
+  bool cut_to_target_ = false;    ///< Bytes to the target are swallowed.
+  bool cut_from_target_ = false;  ///< Bytes from the target are swallowed.
+  bool refuse_ = false;           ///< New connections are closed.
+  std::int64_t delay_ms_ = 0;     ///< For each direction.
+  /// Resets a connection after this many bytes from the target, counted from the change of the
+  /// faults; 0 never does.
+  std::uint64_t reset_after_bytes_ = 0;
+};
+
+/// A listening port, its target, and its faults for each process that connects; those of process 0
+/// are for connections of every process.
+struct ProxyRoute {
+  std::string name_;
+  std::uint16_t listen_port_ = 0;
+  std::uint16_t target_port_ = 0;
+  int listener_ = -1;
+  std::map<pid_t, ProxyFaults> faults_;
+};
+
+/// One direction of a connection.
+struct ProxyStream {
+  struct Chunk {
+    std::string bytes_;
+    BootTime due_;
+  };
+  int from_ = -1;
+  int to_ = -1;
+  std::deque<Chunk> queue_;
+  std::size_t queued_bytes_ = 0;
+  bool ended_ = false;      ///< The sender has closed its side.
+  bool shut_down_ = false;  ///< The end was passed on.
+  bool swallowed_ = false;  ///< Bytes are missing, so the connection can't go on after the cut.
+};
+
+struct ProxyConnection {
+  const ProxyRoute* route_ = nullptr;
+  ProxyFaults faults_;
+  ProxyStream to_target_;
+  ProxyStream from_target_;
+  std::uint64_t answered_bytes_ = 0;
+  bool connecting_ = true;
+  ReactorLoop::TimerId timer_ = 0;
+};
+
+struct Proxy {
+  explicit Proxy(ReactorLoop& loop) : loop_(loop) {}
+  ReactorLoop& loop_;
+  std::map<std::string, ProxyRoute, std::less<>> routes_;
+  std::map<ProxyConnection*, std::unique_ptr<ProxyConnection>> connections_;
+};
+
+/// Starts to accept connections of a route. Errors: the system's error of the listening socket.
+Result<void> OpenRoute(Proxy& proxy, ProxyRoute& route);
+
+/// Applies changed faults of a route to its open connections. Connections that lost bytes are reset
+/// when their cut ends.
+void RefreshConnections(Proxy& proxy, const ProxyRoute& route);
+
+}  // namespace sassafrasbay::stand_ins
