LibTransport: Add the peer network

websocketpp runs without its own I/O in one C++17 source behind a session interface, so that the sockets belong to the reactor loop and the rest stays C++20. A protocol error drops the connection, because this transport has no timers that would end an unanswered closing handshake. MeasureTransport prints the cost of an exchange.

--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "LibTransport/http_exchange.h"
-#include "LibTransport/listen_socket.h"
+#include "LibTransport/tcp_socket.h"
 
 namespace sassafrasbay {
 namespace {
--- /dev/null
+++ b/Libraries/LibTransport/peer_connection.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibTransport/peer_network.h"
+#include "LibTransport/websocket_session.h"
+
+namespace sassafrasbay {
+
+/// One connection of a PeerNetwork.
+struct PeerConnection {
+  ConnectionId id_ = 0;
+  std::string address_;
+  int socket_ = -1;
+  bool connecting_ = false;
+  bool open_ = false;
+  bool closed_ = false;
+  bool closed_by_owner_ = false;
+  bool flush_posted_ = false;
+  bool wants_write_ = false;
+  std::unique_ptr<WebsocketSession> session_;
+  std::vector<std::string> waiting_;  ///< Frames sent before the session is open.
+  std::size_t waiting_bytes_ = 0;
+  std::string output_;
+  std::size_t output_start_ = 0;
+  ReactorLoop::TimerId open_timer_ = 0;
+};
+
+using PeerConnectionPointer = std::shared_ptr<PeerConnection>;
+
+/// Bytes that the socket hasn't taken yet.
+inline std::size_t QueuedBytes(const PeerConnection& connection) {
+  return connection.waiting_bytes_ + connection.output_.size() - connection.output_start_;
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibTransport/peer_network.h
+++ b/Libraries/LibTransport/peer_network.h
@@ -33,6 +33,7 @@
   /// connection is gone or its queue is longer than the bound.
   virtual bool Send(ConnectionId connection, std::string_view frame) = 0;
 
+  /// Sends what the socket still takes. on_closed_ isn't called.
   virtual void Close(ConnectionId connection) = 0;
   virtual std::uint16_t Port() const = 0;
 };
--- a/Libraries/LibTransport/listen_socket.cc
+++ b/Libraries/LibTransport/tcp_socket.cc
@@ -1,4 +1,4 @@
-#include "LibTransport/listen_socket.h"
+#include "LibTransport/tcp_socket.h"
 
 #include <netdb.h>
 #include <netinet/in.h>
@@ -15,6 +15,8 @@
 // Bursts of connections arrive when a neighbouring node or an upstream restarts.
 constexpr int kListenBacklog = 1024;
 
+constexpr std::string_view kConnectStep = "connect to peer";
+
 Result<int> BindAndListen(const addrinfo& address, std::string_view peer) {
   const int descriptor =
       socket(address.ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
@@ -32,6 +34,20 @@
   return descriptor;
 }
 
+Result<int> BeginConnect(const addrinfo& address, std::string_view peer) {
+  const int descriptor =
+      socket(address.ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  if (descriptor < 0) {
+    return SystemError(errno, kConnectStep, peer);
+  }
+  if (connect(descriptor, address.ai_addr, address.ai_addrlen) != 0 && errno != EINPROGRESS) {
+    const int number = errno;
+    close(descriptor);
+    return SystemError(number, kConnectStep, peer);
+  }
+  return descriptor;
+}
+
 }  // namespace
 
 Result<int> OpenListenSocket(std::string_view host, std::uint16_t port) {
@@ -51,6 +67,29 @@
   return descriptor;
 }
 
+Result<int> OpenConnectingSocket(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return MakeError(Errc::kInvalidArgument, kConnectStep, address, "no port");
+  }
+  std::string host(address.substr(0, colon));
+  const std::string port(address.substr(colon + 1));
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  addrinfo hints{};
+  hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+  hints.ai_socktype = SOCK_STREAM;
+  addrinfo* addresses = nullptr;
+  const int status = getaddrinfo(host.c_str(), port.c_str(), &hints, &addresses);
+  if (status != 0) {
+    return MakeError(Errc::kInvalidArgument, kConnectStep, address, gai_strerror(status));
+  }
+  Result<int> descriptor = BeginConnect(*addresses, address);
+  freeaddrinfo(addresses);
+  return descriptor;
+}
+
 std::uint16_t BoundPort(int socket) {
   sockaddr_storage address{};
   socklen_t length = sizeof(address);
--- a/Libraries/LibTransport/listen_socket.h
+++ b/Libraries/LibTransport/tcp_socket.h
@@ -10,6 +10,9 @@
 /// Opens a non-blocking listening TCP socket on a numeric host; port 0 chooses a free one.
 Result<int> OpenListenSocket(std::string_view host, std::uint16_t port);
 
+/// Starts a non-blocking connect to "host:port" or "[host]:port" with a numeric host.
+Result<int> OpenConnectingSocket(std::string_view address);
+
 /// Port that the socket is bound to.
 std::uint16_t BoundPort(int socket);
 
--- /dev/null
+++ b/Libraries/LibTransport/websocket_session.cc
@@ -0,0 +1,157 @@
+#include "LibTransport/websocket_session.h"
+
+#include <cstdint>
+#include <exception>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/logger/stub.hpp>
+#include <websocketpp/random/random_device.hpp>
+#include <websocketpp/server.hpp>
+
+namespace sassafrasbay {
+namespace {
+
+namespace ws = websocketpp;
+
+// One thread uses a session, so nothing is locked, and the library must not write to stdout.
+struct TransportConfig : ws::config::core::transport_config {
+  using concurrency_type = ws::concurrency::none;  // NOLINT(readability-identifier-naming)
+  using elog_type = ws::log::stub;                 // NOLINT(readability-identifier-naming)
+  using alog_type = ws::log::stub;                 // NOLINT(readability-identifier-naming)
+};
+
+struct Config : ws::config::core {
+  using type = Config;                                                        // NOLINT
+  using concurrency_type = ws::concurrency::none;                             // NOLINT
+  using elog_type = ws::log::stub;                                            // NOLINT
+  using alog_type = ws::log::stub;                                            // NOLINT
+  using transport_config = TransportConfig;                                   // NOLINT
+  using transport_type = ws::transport::iostream::endpoint<TransportConfig>;  // NOLINT
+  // Clients mask each frame with a random number.
+  using rng_type =
+      ws::random::random_device::int_generator<std::uint32_t, concurrency_type>;  // NOLINT
+  // Without timers in this transport, a closing handshake that the peer ignores would never end.
+  static const bool drop_on_protocol_error = true;  // NOLINT
+  // A handshake needs no body; the default allows 32 MB.
+  static const size_t max_http_body_size = 1024;  // NOLINT
+};
+
+using Server = ws::server<Config>;
+using Client = ws::client<Config>;
+
+template <typename Endpoint>
+class Session final : public WebsocketSession {
+ public:
+  using ConnectionPointer = typename Endpoint::connection_ptr;
+
+  Session(Endpoint& endpoint, ConnectionPointer connection, WebsocketHandlers handlers)
+      : endpoint_(endpoint), connection_(std::move(connection)), handlers_(std::move(handlers)) {
+    connection_->set_write_handler(
+        [this](const ws::connection_hdl&, const char* data, std::size_t size) {
+          if (!detached_) {
+            handlers_.write_(std::string_view(data, size));
+          }
+          return ws::lib::error_code();
+        });
+    connection_->set_open_handler([this](const ws::connection_hdl&) {
+      open_ = true;
+      handlers_.on_open_();
+    });
+    connection_->set_message_handler(
+        [this](const ws::connection_hdl&, const typename Endpoint::message_ptr& message) {
+          if (!detached_) {
+            handlers_.on_frame_(message->get_payload());
+          }
+        });
+    connection_->set_shutdown_handler([this](const ws::connection_hdl&) {
+      ended_ = true;
+      return ws::lib::error_code();
+    });
+  }
+
+  // A pending read holds a reference to the connection and would keep it alive forever.
+  ~Session() override {
+    detached_ = true;
+    connection_->eof();
+  }
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Start() override {
+    if constexpr (std::is_same_v<Endpoint, Client>) {
+      endpoint_.connect(connection_);
+    } else {
+      connection_->start();
+    }
+  }
+
+  bool Receive(std::string_view bytes) override {
+    try {
+      const std::size_t used = connection_->read_all(bytes.data(), bytes.size());
+      ended_ = ended_ || used < bytes.size();
+    } catch (const std::exception& exception) {
+      ended_ = true;
+      reason_ = exception.what();
+    }
+    return !ended_;
+  }
+
+  bool Send(std::string_view frame) override {
+    if (!open_ || ended_) {
+      return false;
+    }
+    return !connection_->send(frame.data(), frame.size(), ws::frame::opcode::binary);
+  }
+
+  std::string EndReason() const override {
+    return reason_.empty() ? connection_->get_ec().message() : reason_;
+  }
+
+ private:
+  Endpoint& endpoint_;
+  ConnectionPointer connection_;
+  WebsocketHandlers handlers_;
+  std::string reason_;
+  bool open_ = false;
+  bool ended_ = false;
+  bool detached_ = false;
+};
+
+class Factory final : public WebsocketFactory {
+ public:
+  explicit Factory(std::size_t max_frame_bytes) {
+    server_.set_max_message_size(max_frame_bytes);
+    client_.set_max_message_size(max_frame_bytes);
+  }
+
+  std::unique_ptr<WebsocketSession> MakeServerSession(WebsocketHandlers handlers) override {
+    return std::make_unique<Session<Server>>(server_, server_.get_connection(),
+                                             std::move(handlers));
+  }
+
+  std::unique_ptr<WebsocketSession> MakeClientSession(const std::string& address,
+                                                      WebsocketHandlers handlers) override {
+    ws::lib::error_code error;
+    const Client::connection_ptr connection =
+        client_.get_connection("ws://" + address + "/", error);
+    if (error || connection == nullptr) {
+      return nullptr;
+    }
+    return std::make_unique<Session<Client>>(client_, connection, std::move(handlers));
+  }
+
+ private:
+  Server server_;
+  Client client_;
+};
+
+}  // namespace
+
+std::unique_ptr<WebsocketFactory> MakeWebsocketFactory(std::size_t max_frame_bytes) {
+  return std::make_unique<Factory>(max_frame_bytes);
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibTransport/websocket_session.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace sassafrasbay {
+
+/// What a session reports, always from within one of its functions.
+struct WebsocketHandlers {
+  std::function<void(std::string_view)> write_;  ///< Bytes for the socket.
+  std::function<void()> on_open_;
+  std::function<void(std::string_view)> on_frame_;
+};
+
+/// The protocol of one connection, without I/O. Compiled as C++17, as are all users of websocketpp.
+class WebsocketSession {
+ public:
+  virtual ~WebsocketSession() = default;
+  /// Starts the handshake; a client writes its request.
+  virtual void Start() = 0;
+  /// Takes bytes from the socket. False when the session has ended.
+  virtual bool Receive(std::string_view bytes) = 0;
+  /// False when the session is not open.
+  virtual bool Send(std::string_view frame) = 0;
+  /// Why the session has ended.
+  virtual std::string EndReason() const = 0;
+};
+
+/// Creates sessions, which it must outlive.
+class WebsocketFactory {
+ public:
+  virtual ~WebsocketFactory() = default;
+  virtual std::unique_ptr<WebsocketSession> MakeServerSession(WebsocketHandlers handlers) = 0;
+  /// `address` is "host:port". Null when it is malformed.
+  virtual std::unique_ptr<WebsocketSession> MakeClientSession(const std::string& address,
+                                                              WebsocketHandlers handlers) = 0;
+};
+
+std::unique_ptr<WebsocketFactory> MakeWebsocketFactory(std::size_t max_frame_bytes);
+
+}  // namespace sassafrasbay
--- a/Tests/LibTransport/loopback.h
+++ b/Tests/LibTransport/loopback.h
@@ -12,8 +12,8 @@
 #include <string_view>
 #include <thread>
 
-#include "LibTransport/listen_socket.h"
 #include "LibTransport/reactor_loop.h"
+#include "LibTransport/tcp_socket.h"
 
 namespace sassafrasbay {
 
--- /dev/null
+++ b/Tests/LibTransport/measure_transport.cc
@@ -0,0 +1,117 @@
+// Prints requests per second and processor time per request for HTTP and websocket exchanges with
+// client and server on one thread. Not a test: the figures depend on the machine.
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <string>
+
+#include "LibTransport/http_client.h"
+#include "LibTransport/http_server.h"
+#include "LibTransport/peer_network.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr int kRequests = 50000;
+
+double ProcessorMicroseconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto total = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_usec);
+  };
+  return total(usage.ru_utime) + total(usage.ru_stime);
+}
+
+void Report(const char* name, int concurrency, BootTime start, double processor) {
+  const double wall = std::chrono::duration<double>(BootClock::now() - start).count();
+  std::printf("%-22s concurrency %3d: %8.0f requests/s, %6.1f us processor time each\n", name,
+              concurrency, kRequests / wall, (ProcessorMicroseconds() - processor) / kRequests);
+}
+
+void MeasureHttp(const char* name, int concurrency, bool late, bool fresh) {
+  ReactorLoop loop;
+  HttpClient client(loop, 256);
+  auto server = HttpServerBuilder(loop)
+                    .OnRequest([&](const std::shared_ptr<HttpExchange>& exchange) {
+                      if (!late) {
+                        exchange->Respond(HttpResponse{200, {}, "answer"});
+                        return;
+                      }
+                      loop.Post([exchange] { exchange->Respond(HttpResponse{200, {}, "answer"}); });
+                    })
+                    .Build();
+  HttpCall call;
+  call.base_url_ = "http://127.0.0.1:" + std::to_string(server.value()->Port());
+  call.request_ = HttpRequest{"POST", "/service/key", {{"X-One", "1"}}, std::string(200, 'b')};
+  call.fresh_connection_ = fresh;
+  int started = 0;
+  int finished = 0;
+  std::function<void()> next = [&] {
+    if (started < kRequests) {
+      ++started;
+      client.Start(call, [&](const HttpResult& result) {
+        if (!result.response_) {
+          std::printf("%s\n", ToString(result.response_.error()).c_str());
+          std::exit(1);
+        }
+        if (++finished == kRequests) {
+          loop.Stop();
+        }
+        next();
+      });
+    }
+  };
+  const BootTime start = BootClock::now();
+  const double processor = ProcessorMicroseconds();
+  for (int i = 0; i < concurrency; ++i) {
+    next();
+  }
+  loop.Run();
+  Report(name, concurrency, start, processor);
+}
+
+void MeasureWebsocket(int concurrency) {
+  ReactorLoop loop;
+  std::unique_ptr<PeerNetwork> server;
+  std::unique_ptr<PeerNetwork> client;
+  PeerEvents server_events;
+  server_events.on_frame_ = [&](ConnectionId id, std::string_view frame) {
+    server->Send(id, frame);
+  };
+  int received = 0;
+  PeerEvents client_events;
+  client_events.on_frame_ = [&](ConnectionId id, std::string_view frame) {
+    if (++received == kRequests) {
+      loop.Stop();
+      return;
+    }
+    client->Send(id, frame);
+  };
+  server = std::move(PeerNetworkBuilder(loop).Events(server_events).Build().value());
+  client = std::move(PeerNetworkBuilder(loop).Events(client_events).Build().value());
+  const ConnectionId id = client->Connect("127.0.0.1:" + std::to_string(server->Port()));
+  const BootTime start = BootClock::now();
+  const double processor = ProcessorMicroseconds();
+  for (int i = 0; i < concurrency; ++i) {
+    client->Send(id, std::string(300, 'f'));
+  }
+  loop.Run();
+  Report("websocket round trip", concurrency, start, processor);
+}
+
+}  // namespace
+}  // namespace sassafrasbay
+
+int main() {
+  using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
+  for (const int concurrency : {1, 16, 64}) {
+    MeasureHttp("HTTP, answer at once", concurrency, false, false);
+    MeasureHttp("HTTP, answer later", concurrency, true, false);
+    MeasureHttp("HTTP, new connection", concurrency, true, true);
+    MeasureWebsocket(concurrency);
+  }
+  return 0;
+}
--- /dev/null
+++ b/Tests/LibTransport/test_peer_network.cc
@@ -0,0 +1,283 @@
+#define BOOST_TEST_MODULE PeerNetwork
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "LibTransport/loopback.h"
+#include "LibTransport/peer_network.h"
+
+namespace sassafrasbay {
+namespace {
+
+/// One side of the connections under test; replaceable reactions to frames and losses.
+struct Side {
+  explicit Side(ReactorLoop& loop, milliseconds timeout = milliseconds(1000)) {
+    PeerEvents events;
+    events.on_open_ = [this](ConnectionId id) { opened_.push_back(id); };
+    events.on_frame_ = [this](ConnectionId id, std::string_view frame) { on_frame_(id, frame); };
+    events.on_closed_ = [this](ConnectionId id, const Error& error) {
+      closed_ = id;
+      error_ = error;
+      on_closed_();
+    };
+    auto built = PeerNetworkBuilder(loop)
+                     .Listen("127.0.0.1", 0)
+                     .MaxFrameBytes(4U << 20U)
+                     .ConnectTimeout(timeout)
+                     .Events(events)
+                     .Build();
+    BOOST_REQUIRE(built.has_value());
+    network_ = std::move(built.value());
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(network_->Port()); }
+
+  std::unique_ptr<PeerNetwork> network_;
+  std::vector<ConnectionId> opened_;
+  ConnectionId closed_ = 0;
+  std::optional<Error> error_;
+  std::function<void(ConnectionId, std::string_view)> on_frame_ = [](ConnectionId,
+                                                                     std::string_view) {};
+  std::function<void()> on_closed_ = [] {};
+};
+
+std::string MakePattern(std::size_t size) {
+  std::string text(size, ' ');
+  for (std::size_t i = 0; i < size; ++i) {
+    text[i] = static_cast<char>((i * 31 + i / 251) & 0xFFU);
+  }
+  return text;
+}
+
+// Guards against frames that are lost, reordered or damaged, of sizes around the limits of the
+// length field and up to the largest frame, also when they are sent before the connection is open.
+BOOST_AUTO_TEST_CASE(FramesOfAllSizesComeBackInOrder) {
+  const std::vector<std::size_t> sizes = {0, 1, 125, 126, 65535, 65536, 1U << 20U, 4U << 20U};
+  ReactorLoop loop;
+  Side server(loop);
+  Side client(loop);
+  server.on_frame_ = [&](ConnectionId id, std::string_view frame) {
+    BOOST_TEST(server.network_->Send(id, frame));
+  };
+  std::size_t received = 0;
+  client.on_frame_ = [&](ConnectionId, std::string_view frame) {
+    BOOST_TEST((frame == MakePattern(sizes[received])));
+    if (++received == sizes.size()) {
+      loop.Stop();
+    }
+  };
+  const ConnectionId id = client.network_->Connect(server.Address());
+  for (const std::size_t size : sizes) {
+    BOOST_TEST(client.network_->Send(id, MakePattern(size)));
+  }
+  RunGuarded(loop);
+  BOOST_TEST(received == sizes.size());
+  BOOST_TEST(client.opened_.size() == 1U);
+  BOOST_TEST(server.opened_.size() == 1U);
+}
+
+// Guards against a stall or a loss over many small exchanges.
+BOOST_AUTO_TEST_CASE(ThousandsOfSequentialExchanges) {
+  constexpr int kExchanges = 5000;
+  ReactorLoop loop;
+  Side server(loop);
+  Side client(loop);
+  server.on_frame_ = [&](ConnectionId id, std::string_view frame) {
+    server.network_->Send(id, frame);
+  };
+  int count = 0;
+  client.on_frame_ = [&](ConnectionId id, std::string_view frame) {
+    BOOST_REQUIRE(frame == std::to_string(count));
+    if (++count == kExchanges) {
+      loop.Stop();
+      return;
+    }
+    client.network_->Send(id, std::to_string(count));
+  };
+  client.network_->Send(client.network_->Connect(server.Address()), "0");
+  RunGuarded(loop);
+  BOOST_TEST(count == kExchanges);
+}
+
+// Guards against a refused connection being reported inside Connect or not at all.
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsReported) {
+  ReactorLoop loop;
+  const int listener = OpenListenSocket("127.0.0.1", 0).value();
+  const std::string address = "127.0.0.1:" + std::to_string(BoundPort(listener));
+  close(listener);
+  Side client(loop);
+  client.on_closed_ = [&] { loop.Stop(); };
+  for (const std::string& target : {address, std::string("no address")}) {
+    client.closed_ = 0;
+    const ConnectionId id = client.network_->Connect(target);
+    BOOST_TEST(client.closed_ == 0U);
+    RunGuarded(loop);
+    BOOST_TEST(client.closed_ == id);
+    BOOST_TEST(!client.network_->Send(id, "x"));
+  }
+}
+
+// Guards against waiting forever for a peer that accepts and then says nothing.
+BOOST_AUTO_TEST_CASE(SilentPeerTimesOut) {
+  ReactorLoop loop;
+  const int listener = OpenListenSocket("127.0.0.1", 0).value();
+  Side client(loop, milliseconds(50));
+  client.on_closed_ = [&] { loop.Stop(); };
+  client.network_->Connect("127.0.0.1:" + std::to_string(BoundPort(listener)));
+  RunGuarded(loop);
+  BOOST_REQUIRE(client.error_.has_value());
+  BOOST_TEST((client.error_->code_ == Errc::kTimedOut));
+  close(listener);
+}
+
+// Guards against junk on the port harming the process or other connections.
+BOOST_AUTO_TEST_CASE(JunkClosesOnlyItsConnection) {
+  constexpr unsigned kSeed = 20240612;
+  ReactorLoop loop;
+  Side server(loop, milliseconds(200));
+  Side client(loop);
+  int frames = 0;
+  server.on_frame_ = [&](ConnectionId, std::string_view) { ++frames; };
+  const ConnectionId id = client.network_->Connect(server.Address());
+  int closed = 0;
+  RunWithPeer(loop, [&] {
+    std::minstd_rand random(kSeed);
+    for (int round = 0; round < 8; ++round) {
+      std::string junk(2000, ' ');
+      for (char& byte : junk) {
+        byte = static_cast<char>(random());
+      }
+      const LoopbackSocket socket(LoopbackSocket::ConnectTo(server.network_->Port()));
+      socket.Send(round % 2 == 0 ? junk : "GET / HTTP/1.1\r\nHost: a\r\n\r\n" + junk);
+      closed += socket.IsClosedByPeer() ? 1 : 0;
+    }
+  });
+  BOOST_TEST(closed == 8);
+  BOOST_TEST(client.network_->Send(id, "still here"));
+  server.on_frame_ = [&](ConnectionId, std::string_view) {
+    ++frames;
+    loop.Stop();
+  };
+  RunGuarded(loop);
+  BOOST_TEST(frames == 1);
+}
+
+std::string Handshake() {
+  return "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+         "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+}
+
+/// A masked binary frame with a mask of zeros and a 64-bit length field.
+std::string MaskedFrame(std::uint64_t declared, std::string_view payload) {
+  std::string frame = "\x82\xff";
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    frame += static_cast<char>((declared >> static_cast<unsigned>(shift)) & 0xFFU);
+  }
+  return frame + std::string(4, '\0') + std::string(payload);
+}
+
+// Guards against a frame that arrives a byte at a time being damaged.
+BOOST_AUTO_TEST_CASE(FrameSplitOverManyReads) {
+  ReactorLoop loop;
+  Side server(loop);
+  const std::string payload = MakePattern(70000);
+  std::string received;
+  server.on_frame_ = [&](ConnectionId, std::string_view frame) { received = frame; };
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket socket(LoopbackSocket::ConnectTo(server.network_->Port()));
+    const std::string bytes = Handshake() + MaskedFrame(payload.size(), payload);
+    const std::size_t single = 400;
+    for (std::size_t i = 0; i < single; ++i) {
+      socket.Send(bytes.substr(i, 1));
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    for (std::size_t i = single; i < bytes.size(); i += 999) {
+      socket.Send(bytes.substr(i, 999));
+    }
+    socket.ReadUntil("\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(100));
+  });
+  BOOST_TEST((received == payload));
+}
+
+// Guards against memory being taken for a frame that only declares a large size.
+BOOST_AUTO_TEST_CASE(OversizeFrameClosesTheConnection) {
+  ReactorLoop loop;
+  Side server(loop);
+  int frames = 0;
+  server.on_frame_ = [&](ConnectionId, std::string_view) { ++frames; };
+  bool closed = false;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket socket(LoopbackSocket::ConnectTo(server.network_->Port()));
+    socket.Send(Handshake());
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(MaskedFrame((4U << 20U) + 1, "start"));
+    closed = socket.IsClosedByPeer();
+  });
+  BOOST_TEST(closed);
+  BOOST_TEST(frames == 0);
+  BOOST_TEST(server.closed_ != 0U);
+  Side client(loop);
+  const ConnectionId id = client.network_->Connect(server.Address());
+  BOOST_TEST(!client.network_->Send(id, std::string((4U << 20U) + 1, 'x')));
+}
+
+// Guards against unbounded memory for a peer that doesn't read.
+BOOST_AUTO_TEST_CASE(SendQueueIsBounded) {
+  constexpr std::size_t kFrameBytes = 1U << 20U;
+  ReactorLoop loop;
+  Side client(loop);
+  const int listener = OpenListenSocket("127.0.0.1", 0).value();
+  const ConnectionId id =
+      client.network_->Connect("127.0.0.1:" + std::to_string(BoundPort(listener)));
+  int accepted = 0;
+  while (accepted < 100 && client.network_->Send(id, std::string(kFrameBytes, 'x'))) {
+    ++accepted;
+  }
+  BOOST_TEST(accepted == 8);
+  close(listener);
+}
+
+// Guards against a lost peer staying unnoticed, and against events after an own Close.
+BOOST_AUTO_TEST_CASE(CloseIsSeenByTheOtherSideOnly) {
+  ReactorLoop loop;
+  Side server(loop);
+  Side client(loop);
+  ConnectionId id = 0;
+  std::string received;
+  server.on_frame_ = [&](ConnectionId, std::string_view frame) { received = frame; };
+  server.on_closed_ = [&] { loop.StartTimer(milliseconds(10), [&] { loop.Stop(); }); };
+  id = client.network_->Connect(server.Address());
+  loop.StartTimer(milliseconds(50), [&] {
+    client.network_->Send(id, "last");
+    client.network_->Close(id);
+  });
+  RunGuarded(loop);
+  BOOST_TEST(received == "last");
+  BOOST_TEST(server.closed_ != 0U);
+  BOOST_TEST(client.closed_ == 0U);
+  BOOST_TEST(!client.network_->Send(id, "x"));
+}
+
+// Guards against use of a session that its own frame callback closes.
+BOOST_AUTO_TEST_CASE(CloseInsideTheFrameCallback) {
+  ReactorLoop loop;
+  Side server(loop);
+  Side client(loop);
+  int frames = 0;
+  server.on_frame_ = [&](ConnectionId id, std::string_view) {
+    ++frames;
+    server.network_->Close(id);
+  };
+  client.on_closed_ = [&] { loop.Stop(); };
+  const ConnectionId id = client.network_->Connect(server.Address());
+  client.network_->Send(id, "one");
+  client.network_->Send(id, "two");
+  RunGuarded(loop);
+  BOOST_TEST(frames == 1);
+}
+
+}  // namespace
+}  // namespace sassafrasbay
