LibTransport: Join folded headers and test the limit per host

A folded response header was taken for a header of its own. Tasks that post while the loop destroys its queue no longer change the queue being cleared.

--- a/Libraries/LibTransport/http_call.cc
+++ b/Libraries/LibTransport/http_call.cc
@@ -64,11 +64,16 @@
     state.response_.headers_.clear();
     return line.size();
   }
+  HeaderList& headers = state.response_.headers_;
+  if ((line.starts_with(' ') || line.starts_with('\t')) && !headers.empty()) {
+    // Obsolete line folding (RFC 9112, section 5.2) stands for a space.
+    headers.back().second.append(" ").append(Trim(line));
+    return line.size();
+  }
   const std::size_t colon = line.find(':');
   // Trailers arrive after the body and aren't part of the header section.
   if (colon != std::string_view::npos && !state.body_started_) {
-    state.response_.headers_.emplace_back(Trim(line.substr(0, colon)),
-                                          Trim(line.substr(colon + 1)));
+    headers.emplace_back(Trim(line.substr(0, colon)), Trim(line.substr(colon + 1)));
   }
   return line.size();
 }
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -18,7 +18,7 @@
 // connections after each burst.
 constexpr long kCachedConnections = 512;  // NOLINT(google-runtime-int): libcurl's type
 
-// Transfer handles kept for reuse; each holds buffers of about 16 KiB.
+// Transfer handles kept for reuse; each holds its receive and upload buffers.
 constexpr std::size_t kSpareHandles = 64;
 
 void InitializeCurl() {
--- a/Libraries/LibTransport/reactor_loop.cc
+++ b/Libraries/LibTransport/reactor_loop.cc
@@ -190,7 +190,10 @@
   for (const auto& [descriptor, entry] : watches) {
     Unwatch(descriptor);
   }
-  impl_->posted_.clear();
+  while (!impl_->posted_.empty()) {
+    // Destroying a task may post another one.
+    const std::vector<Task> tasks = std::exchange(impl_->posted_, {});
+  }
 }
 
 void ReactorLoop::Run() {
--- a/Tests/LibTransport/test_http_client.cc
+++ b/Tests/LibTransport/test_http_client.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE HttpClient
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -226,6 +227,49 @@
   BOOST_TEST(!result.maybe_sent_);
 }
 
+// Guards against more connections to a host than it allows, and against calls that wait for a
+// connection being lost, with kept connections and with fresh ones.
+BOOST_AUTO_TEST_CASE(ConnectionsPerHostAreLimited) {
+  constexpr int kLimit = 3;
+  constexpr int kCalls = 40;
+  for (const bool fresh : {false, true}) {
+    ReactorLoop loop;
+    HttpClient client(loop, kLimit);
+    int open = 0;
+    int most = 0;
+    const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+      most = std::max(most, ++open);
+      loop.StartTimer(milliseconds(2), [&, exchange] {
+        --open;
+        exchange->Respond(HttpResponse{200, {}, "ok"});
+      });
+    });
+    int good = 0;
+    int finished = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      HttpCall call = MakeCall(server->Port(), "GET", "/");
+      call.fresh_connection_ = fresh;
+      client.Start(std::move(call), [&](const HttpResult& result) {
+        good += result.response_.has_value() ? 1 : 0;
+        if (++finished == kCalls) {
+          loop.Stop();
+        }
+      });
+    }
+    RunGuarded(loop);
+    BOOST_TEST(good == kCalls);
+    BOOST_TEST(most == kLimit);
+  }
+}
+
+// Guards against a folded header line being taken for a header of its own.
+BOOST_AUTO_TEST_CASE(FoldedHeaderIsJoined) {
+  const auto result =
+      CallScripted("HTTP/1.1 200 OK\r\nX-Long: one\r\n  two: 2\r\nContent-Length: 0\r\n\r\n");
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(FindHeader(result.value().headers_, "X-Long") == "one two: 2");
+}
+
 // Guards against a cancelled call's callback running or its connection staying open.
 BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
   ReactorLoop loop;
