--- a/Tests/LibRouting/test_admission.cc
+++ b/Tests/LibRouting/test_admission.cc
@@ -39,6 +39,33 @@
   }
 }
 
+void OfferRandom(Admission& admission, std::set<std::uint64_t>& queued,
+                 const WaitingRequest& request, BootTime now) {
+  const AdmissionVerdict verdict = Offer(admission, request, now);
+  if (verdict.decision_ == AdmissionDecision::kRun) {
+    BOOST_REQUIRE(admission.running_ <= CurrentLimit(admission, now));
+  }
+  if (verdict.decision_ == AdmissionDecision::kQueue) {
+    queued.insert(request.number_);
+  }
+  if (verdict.shed_instead_.has_value()) {
+    BOOST_REQUIRE(queued.erase(*verdict.shed_instead_) == 1U);
+  }
+}
+
+void RequireInvariants(const Admission& admission, const std::set<std::uint64_t>& queued,
+                       BootTime now) {
+  BOOST_REQUIRE(admission.running_ <= kTerms.slots_);
+  BOOST_REQUIRE(CurrentLimit(admission, now) >= 1U);
+  BOOST_REQUIRE(CurrentLimit(admission, now) <= kTerms.slots_);
+  BOOST_REQUIRE(admission.queue_.size() == queued.size());
+  BOOST_REQUIRE(queued.size() <= kTerms.queue_length_);
+  BOOST_REQUIRE(std::is_sorted(admission.queue_.begin(), admission.queue_.end(),
+                               [](const WaitingRequest& left, const WaitingRequest& right) {
+                                 return left.worth_ > right.worth_;
+                               }));
+}
+
 // Guards against more running requests than the limit, a lost or doubled request, and a queue out
 // of order, over random events.
 BOOST_AUTO_TEST_CASE(RunningNeverExceedsLimit) {
@@ -53,21 +80,12 @@
     now += milliseconds(random() % 3);
     switch (random() % 5) {
       case 0:
-      case 1: {
-        const WaitingRequest request{++number, 1 + static_cast<int>(random() % 100),
-                                     now + milliseconds(random() % 2000)};
-        const AdmissionVerdict verdict = Offer(admission, request, now);
-        if (verdict.decision_ == AdmissionDecision::kRun) {
-          BOOST_REQUIRE(admission.running_ <= CurrentLimit(admission, now));
-        }
-        if (verdict.decision_ == AdmissionDecision::kQueue) {
-          queued.insert(request.number_);
-        }
-        if (verdict.shed_instead_.has_value()) {
-          BOOST_REQUIRE(queued.erase(*verdict.shed_instead_) == 1U);
-        }
+      case 1:
+        OfferRandom(
+            admission, queued,
+            {++number, 1 + static_cast<int>(random() % 100), now + milliseconds(random() % 2000)},
+            now);
         break;
-      }
       case 2:
         if (admission.running_ > 0) {
           const auto result = static_cast<ServiceResult>(random() % 20 == 0 ? 1 + random() % 2 : 0);
@@ -86,15 +104,7 @@
           BOOST_REQUIRE(queued.erase(request.number_) == 1U);
         }
     }
-    BOOST_REQUIRE(admission.running_ <= kTerms.slots_);
-    BOOST_REQUIRE(CurrentLimit(admission, now) >= 1U);
-    BOOST_REQUIRE(CurrentLimit(admission, now) <= kTerms.slots_);
-    BOOST_REQUIRE(admission.queue_.size() == queued.size());
-    BOOST_REQUIRE(queued.size() <= kTerms.queue_length_);
-    BOOST_REQUIRE(std::is_sorted(admission.queue_.begin(), admission.queue_.end(),
-                                 [](const WaitingRequest& left, const WaitingRequest& right) {
-                                   return left.worth_ > right.worth_;
-                                 }));
+    RequireInvariants(admission, queued, now);
     most_queued = std::max(most_queued, queued.size());
   }
   BOOST_TEST(most_queued == kTerms.queue_length_);
