--- a/Tests/Integration/harness/history.h
+++ b/Tests/Integration/harness/history.h
@@ -32,7 +32,8 @@
   std::string key_;
   std::string class_;
   bool binding_ = false;
-  std::string outcome_;  ///< Of the last attempt; "lost" when there was no answer.
+  std::string
+      outcome_;  ///< Of the last attempt; "lost" without an answer, "missing" without the header.
   int status_ = 0;
   bool not_run_only_ = false;  ///< Every attempt was answered not-run.
   bool body_ok_ = false;       ///< The body is whole and belongs to the request.
