--- a/Tests/StandIns/fault_proxy.cc
+++ b/Tests/StandIns/fault_proxy.cc
@@ -4,6 +4,8 @@
 #include <signal.h>
 
 #include <cstdio>
+#include <cstdlib>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 #include "LibTransport/http_server.h"
@@ -70,16 +72,16 @@
   ReactorLoop loop;
   Proxy proxy(loop);
   int admin_port = 0;
-  char* route = nullptr;
   constexpr int kRoute = 'r';
   const poptOption table[] = {
       {"admin-port", 0, POPT_ARG_INT, &admin_port, 0, "port for faults", "PORT"},
-      {"route", 0, POPT_ARG_STRING, &route, kRoute, "may be repeated", "NAME=LISTEN:TARGET"},
+      {"route", 0, POPT_ARG_STRING, nullptr, kRoute, "may be repeated", "NAME=LISTEN:TARGET"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("fault_proxy", argc, argv, table, 0);
   int code = 0;
   while ((code = poptGetNextOpt(context)) == kRoute) {
-    if (!AddRoute(proxy, route)) {
+    const std::unique_ptr<char, decltype(&std::free)> text(poptGetOptArg(context), &std::free);
+    if (text == nullptr || !AddRoute(proxy, text.get())) {
       return 1;
     }
   }
--- a/Tests/StandIns/load_generator.cc
+++ b/Tests/StandIns/load_generator.cc
@@ -13,6 +13,7 @@
 #include "LibTransport/reactor_loop.h"
 #include "StandIns/load_plan.h"
 #include "StandIns/load_report.h"
+#include "StandIns/option_text.h"
 
 namespace sassafrasbay::stand_ins {
 namespace {
@@ -173,16 +174,19 @@
 
 int main(int argc, const char** argv) {
   signal(SIGPIPE, SIG_IGN);
-  char* plan_file = nullptr;
-  char* output = nullptr;
+  sassafrasbay::stand_ins::OptionText plan_option;
+  sassafrasbay::stand_ins::OptionText output_option;
   const poptOption table[] = {
-      {"plan", 0, POPT_ARG_STRING, &plan_file, 0, "JSON file, see load_plan.h", "FILE"},
-      {"output", 0, POPT_ARG_STRING, &output, 0, "one line of JSON per request", "FILE"},
+      {"plan", 0, POPT_ARG_STRING, plan_option.Target(), 0, "JSON file, see load_plan.h", "FILE"},
+      {"output", 0, POPT_ARG_STRING, output_option.Target(), 0, "one line of JSON per request",
+       "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("load_generator", argc, argv, table, 0);
   const int code = poptGetNextOpt(context);
   poptFreeContext(context);
-  if (code < -1 || plan_file == nullptr || output == nullptr) {
+  const std::string plan_file = plan_option.Value();
+  const std::string output = output_option.Value();
+  if (code < -1 || plan_file.empty() || output.empty()) {
     std::fprintf(stderr, "--plan and --output are required; see --help\n");
     return 2;
   }
@@ -190,7 +194,7 @@
   const std::string text(std::istreambuf_iterator<char>(stream), {});
   auto plan = sassafrasbay::stand_ins::ParseLoadPlan(text);
   if (!plan) {
-    std::fprintf(stderr, "%s: %s\n", plan_file, ToString(plan.error()).c_str());
+    std::fprintf(stderr, "%s: %s\n", plan_file.c_str(), ToString(plan.error()).c_str());
     return 2;
   }
   return sassafrasbay::stand_ins::Run(std::move(plan).value(), output);
--- a/Tests/StandIns/upstream_stand_in.cc
+++ b/Tests/StandIns/upstream_stand_in.cc
@@ -14,6 +14,7 @@
 #include "LibCore/clock.h"
 #include "StandIns/blocking_client.h"
 #include "StandIns/blocking_server.h"
+#include "StandIns/option_text.h"
 #include "StandIns/upstream_state.h"
 
 namespace sassafrasbay::stand_ins {
@@ -175,20 +176,20 @@
 
 bool ParseOptions(int argc, const char** argv, UpstreamOptions& options) {
   int checks_grants = 0;
-  char* service = nullptr;
-  char* node = nullptr;
-  char* record_file = nullptr;
+  OptionText service;
+  OptionText node;
+  OptionText record_file;
   const poptOption table[] = {
       {"port", 0, POPT_ARG_INT, &options.port_, 0, "port of the service", "PORT"},
       {"admin-port", 0, POPT_ARG_INT, &options.admin_port_, 0, "port of the records", "PORT"},
       {"advertised-port", 0, POPT_ARG_INT, &options.advertised_port_, 0, "of a proxy", "PORT"},
-      {"service", 0, POPT_ARG_STRING, &service, 0, "name of the service", "NAME"},
-      {"node", 0, POPT_ARG_STRING, &node, 0, "caller port of its node", "HOST:PORT"},
+      {"service", 0, POPT_ARG_STRING, service.Target(), 0, "name of the service", "NAME"},
+      {"node", 0, POPT_ARG_STRING, node.Target(), 0, "caller port of its node", "HOST:PORT"},
       {"checks-grants", 0, POPT_ARG_NONE, &checks_grants, 0, "refuse without a grant", nullptr},
       {"slots", 0, POPT_ARG_INT, &options.slots_, 0, "requests at a time", "N"},
       {"service-ms", 0, POPT_ARG_INT, &options.service_ms_, 0, "processing time", "MS"},
       {"cold-ms", 0, POPT_ARG_INT, &options.cold_ms_, 0, "duration of the cold start", "MS"},
-      {"record-file", 0, POPT_ARG_STRING, &record_file, 0, "file of the records", "FILE"},
+      {"record-file", 0, POPT_ARG_STRING, record_file.Target(), 0, "file of the records", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("upstream_stand_in", argc, argv, table, 0);
   const int code = poptGetNextOpt(context);
@@ -197,9 +198,9 @@
   }
   poptFreeContext(context);
   options.checks_grants_ = checks_grants != 0;
-  options.service_ = service == nullptr ? options.service_ : service;
-  options.node_ = node == nullptr ? "" : node;
-  options.record_file_ = record_file == nullptr ? "" : record_file;
+  options.service_ = service.Value(options.service_);
+  options.node_ = node.Value();
+  options.record_file_ = record_file.Value();
   return code >= -1;
 }
 
