--- a/Tests/LibTransport/test_http_client.cc
+++ b/Tests/LibTransport/test_http_client.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <optional>
 #include <string>
 #include <thread>
@@ -262,6 +263,14 @@
   }
 }
 
+// Guards against requests between nodes leaving through a proxy named in the environment.
+BOOST_AUTO_TEST_CASE(ProxyOfTheEnvironmentIsIgnored) {
+  setenv("http_proxy", "http://127.0.0.1:1", 1);  // Nothing listens on port 1.
+  const auto result = CallScripted(std::string(kAnswer));
+  unsetenv("http_proxy");
+  BOOST_TEST(result.has_value());
+}
+
 // Guards against a folded header line being taken for a header of its own.
 BOOST_AUTO_TEST_CASE(FoldedHeaderIsJoined) {
   const auto result =
