LibControl: Start an epoch when a lost grantor isn't replaced

The remaining grantors could end a session alone, while a heartbeat that the lost grantor had acknowledged just before its end still held the lease. A replacement waits for the lease itself, so only a shrinking set of grantors needs the new epoch, which voids attestations under way and restarts the counts.

--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -31,8 +31,9 @@
 struct Session {
   SessionJoined join_;
   Offset joined_at_ = 0;
+  /// Incremented by SessionRenewed and by the loss of a grantor that nobody replaces.
   std::uint64_t epoch_ = 1;
-  Offset epoch_since_ = 0;  ///< Offset of SessionJoined or of the latest SessionRenewed.
+  Offset epoch_since_ = 0;  ///< Offset of the record that started the epoch.
   bool draining_ = false;
   std::vector<GrantorLink> grantors_;
   Offset grantors_changed_at_ = 0;  ///< Offset at which grantors were last added or removed.
--- a/Libraries/LibControl/fold.h
+++ b/Libraries/LibControl/fold.h
@@ -63,6 +63,9 @@
   }
 }
 
+/// Clears the attestations of earlier epochs.
+void StartEpoch(Session& session, std::uint64_t epoch, Offset offset);
+
 /// Picks grantors for a session that has too few.
 void FillGrantors(Step& step, Session& session);
 
--- a/Libraries/LibControl/grantor_choice.cc
+++ b/Libraries/LibControl/grantor_choice.cc
@@ -109,14 +109,23 @@
   }
 }
 
+// A replacement keeps the session from ending until it has waited for the lease itself. Without a
+// replacement, the removed grantor may have acknowledged a heartbeat just before its end, while the
+// remaining grantors have attested already or are about to. A new epoch voids their attestations
+// and restarts their counts when they read this record.
 void ReplaceGrantor(Step& step, std::string_view ended) {
   GranteeCounts counts = CountGrantees(step.state_);
   for (auto& [id, session] : step.state_.sessions_) {
+    const std::size_t before = session.grantors_.size();
     const auto removed = std::erase_if(
         session.grantors_, [ended](const GrantorLink& link) { return link.grantor_ == ended; });
-    if (removed > 0) {
-      session.grantors_changed_at_ = step.offset_;
-      FillGrantors(step, session, counts);
+    if (removed == 0) {
+      continue;
+    }
+    session.grantors_changed_at_ = step.offset_;
+    FillGrantors(step, session, counts);
+    if (session.grantors_.size() < before) {
+      StartEpoch(session, session.epoch_ + 1, step.offset_);
     }
   }
 }
--- a/Libraries/LibControl/session_rules.cc
+++ b/Libraries/LibControl/session_rules.cc
@@ -31,6 +31,14 @@
 
 }  // namespace
 
+void StartEpoch(Session& session, std::uint64_t epoch, Offset offset) {
+  session.epoch_ = epoch;
+  session.epoch_since_ = offset;
+  for (GrantorLink& link : session.grantors_) {
+    link.attested_ = false;
+  }
+}
+
 void Handle(Step& step, const SessionJoined& record) {
   ControlState& state = step.state_;
   if (record.session_.empty() || state.sessions_.contains(record.session_) ||
@@ -60,11 +68,7 @@
   if (record.epoch_ != session->epoch_ + 1) {
     return Refuse(step, "epoch is not the next one");
   }
-  session->epoch_ = record.epoch_;
-  session->epoch_since_ = step.offset_;
-  for (GrantorLink& link : session->grantors_) {
-    link.attested_ = false;
-  }
+  StartEpoch(*session, record.epoch_, step.offset_);
   Accept(step);
 }
 
--- a/Tests/LibControl/test_sessions.cc
+++ b/Tests/LibControl/test_sessions.cc
@@ -92,5 +92,25 @@
   BOOST_TEST(!session.grantors_[1].attested_);
 }
 
+// Guards against the remaining grantor ending a session alone, while a heartbeat that the lost
+// grantor acknowledged just before its end still holds the lease.
+BOOST_AUTO_TEST_CASE(LossOfAGrantorWithoutReplacementStartsAnEpoch) {
+  TestLog log;
+  log.Append(Join("a1", "a"));
+  log.Append(Join("b1", "b"));
+  log.Append(Join("c1", "c"));
+  const Offset offset = log.state_.next_offset_;
+  BOOST_TEST(log.Append(LapseAttested{"a1", 1, "b1"}).valid_);
+  log.Append(SessionEnded{"c1"});
+  const Session& session = *FindSession(log.state_, "a1");
+  BOOST_TEST((GrantorsOf(log.state_, "a1") == Ids{"b1"}));
+  BOOST_TEST(session.epoch_ == 2U);
+  BOOST_TEST(session.epoch_since_ == offset + 1);
+  BOOST_TEST(!session.grantors_[0].attested_);
+  BOOST_TEST(!log.Append(LapseAttested{"a1", 1, "b1"}).valid_);
+  BOOST_TEST(log.Append(LapseAttested{"a1", 2, "b1"}).valid_);
+  BOOST_TEST(FindSession(log.state_, "a1") == nullptr);
+}
+
 }  // namespace
 }  // namespace sassafrasbay::testing
