--- a/Tests/LibControl/control_fixtures.cc
+++ b/Tests/LibControl/control_fixtures.cc
@@ -3,8 +3,11 @@
 namespace sassafrasbay::testing {
 
 RoutingFile ServiceFile(std::string_view service, int shards) {
-  return {std::string(service) + ".toml",
-          "[services." + std::string(service) + "]\nshards = " + std::to_string(shards) + "\n"};
+  return {std::string(service) + ".toml", "[service." + std::string(service) +
+                                              "]\nshards = " + std::to_string(shards) +
+                                              "\n[[service." + std::string(service) +
+                                              ".class]]\nname = \"all\"\npath_prefix = \"/" +
+                                              std::string(service) + "\"\nkind = \"idempotent\"\n"};
 }
 
 SessionJoined Join(std::string_view session, std::string_view data_centre,
--- a/Tests/LibControl/routing_files_double.cc
+++ b/Tests/LibControl/routing_files_double.cc
@@ -1,5 +1,5 @@
-// Stands in for the parser of LibConfiguration: a file names one service and its number of shards
-// as "[services.NAME]" and "shards = N"; anything else is a fault.
+// Stands in for the parser of LibConfiguration: a file starts with "[service.NAME]" and
+// "shards = N"; the rest is ignored, and any other start is a fault.
 
 #include <algorithm>
 #include <sstream>
@@ -18,7 +18,7 @@
     std::string key;
     std::string equals;
     ServiceSpec spec;
-    constexpr std::string_view kPrefix = "[services.";
+    constexpr std::string_view kPrefix = "[service.";
     if (!(text >> header >> key >> equals >> spec.shards_) || !header.starts_with(kPrefix)) {
       result.faults_.push_back({file.name_, 1, "", "not a service"});
       continue;
