--- a/Services/sassafrasbay/control_loop.cc
+++ b/Services/sassafrasbay/control_loop.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// One long poll, appends and a spare.
-constexpr long kLogConnections = 8;  // NOLINT(google-runtime-int): libcurl's type
+constexpr int kLogConnections = 8;
 
 constexpr milliseconds kSnapshotInterval{1000};
 
--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -251,7 +251,7 @@
     CountSuccess(retries_);
     Exonerate(suspects_, active.fingerprint_);
   }
-  Complete(number, std::move(answer));
+  Complete(number, answer);
 }
 
 void Owner::OnLostAnswer(std::uint64_t number, const Error& error, bool maybe_sent) {
@@ -348,7 +348,7 @@
                            static_cast<double>(taken.count()));
 }
 
-void Owner::Complete(std::uint64_t number, RoutedAnswer answer) {
+void Owner::Complete(std::uint64_t number, const RoutedAnswer& answer) {
   Active& active = active_.at(number);
   if (!active.in_table_) {
     Deliver(number, answer);
--- a/Services/sassafrasbay/upstream_link.cc
+++ b/Services/sassafrasbay/upstream_link.cc
@@ -17,7 +17,7 @@
 constexpr int kFailedProbesUntilLost = 3;
 
 /// Connections kept back from traffic for probes and grants.
-constexpr long kReservedConnections = 4;  // NOLINT(google-runtime-int): libcurl's type
+constexpr int kReservedConnections = 4;
 
 /// Units with the same token and adjacent numbers share one range.
 nlohmann::json GrantRanges(const std::map<UnitId, Offset>& units) {
@@ -61,8 +61,8 @@
   announcement_ = announcement;
   failed_probes_ = 0;
   granted_.clear();
-  const long connections =  // NOLINT(google-runtime-int): libcurl's type
-      std::max<long>(1, static_cast<long>(announcement.connections_) - kReservedConnections);
+  const int connections =
+      std::max(1, static_cast<int>(announcement.connections_) - kReservedConnections);
   calls_ = std::make_unique<HttpClient>(loop_, connections);
   LogInfo(kPart, "Upstream " + announcement.address_ + " of " + announcement.service_ +
                      " announced itself; it " +
@@ -137,7 +137,7 @@
   call.base_url_ = BaseUrl();
   call.request_ = {"GET", "/-/health", {}, {}};
   call.timeout_ = kProbeTimeout;
-  probes_->Start(std::move(call), [this, address = announcement_->address_](HttpResult result) {
+  probes_->Start(std::move(call), [this, address = announcement_->address_](const HttpResult& result) {
     probe_running_ = false;
     if (announcement_->address_ == address) {
       OnProbe(result);
