LibControl: Keep the units of a removed service

Change: the units stay in the state; a removed service that is published again keeps its owners, tokens and number of shards.

--- a/Libraries/LibControl/configuration_rules.cc
+++ b/Libraries/LibControl/configuration_rules.cc
@@ -48,9 +48,8 @@
   state.files_ = record.files_;
   ++state.configuration_version_;
   state.configuration_since_ = step.offset_;
-  std::erase_if(state.services_, [&state](const auto& entry) {
-    return FindService(state.configuration_, entry.first) == nullptr;
-  });
+  // The units of a removed service keep their owners. Publishing the service again must not assign
+  // them anew, since an owner that has read neither record still serves.
   AddNewServices(step);
   Accept(step);
 }
