LibControl: Let the planner split keys off inherited shards

The fold allows it since the owner starts the override from its own table; the planner still skipped such shards, so hot keys stayed where they were after a takeover. TestPlacement passes.

--- a/Libraries/LibControl/placement.cc
+++ b/Libraries/LibControl/placement.cc
@@ -143,7 +143,7 @@
       continue;
     }
     const Unit& shard = service.shards_[UnitOfKey(service, name, hash).unit_];
-    if (!shard.owner_.empty() && !shard.move_ && shard.inherited_from_.empty()) {
+    if (!shard.owner_.empty() && !shard.move_) {
       hottest = key->second;
       split = KeySplit{name, hash, shard.token_};
     }
