--- a/Tests/StandIns/upstream_state.cc
+++ b/Tests/StandIns/upstream_state.cc
@@ -107,6 +107,11 @@
   if (state.options_.checks_grants_) {
     const std::string fault = GrantFault(state, request, now);
     if (!fault.empty()) {
+      WriteRecord(state, {{"kind", "refusal"},
+                          {"path", request.path_},
+                          {"token", NumberHeader(request, "Sassafrasbay-Token")},
+                          {"reason", fault},
+                          {"time_ms", now}});
       return {.status_ = 409, .reason_ = fault};
     }
   }
