Services: Take back requests from a session that has ended

Cause: the ingress forwards a request without a time-out, and a frozen owner keeps its connections open. A request that it had taken therefore waited for its deadline although the log already named a new owner, and so did one that was open at the own owner side.

The earlier attempt counts as one that may have run, so a binding request still meets the recovered request table and is never reported as not run by mistake.

Conclusion: a takeover now also reaches the callers that were waiting.

--- a/Services/sassafrasbay/ingress.cc
+++ b/Services/sassafrasbay/ingress.cc
@@ -55,14 +55,36 @@
 void Ingress::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   snapshot_ = std::move(snapshot);
   std::vector<std::uint64_t> waiting;
+  std::vector<std::uint64_t> orphaned;
   for (const auto& [number, pending] : pending_) {
+    const bool open = pending.peer_number_ != 0 || pending.owner_number_ != 0;
     if (pending.waiting_) {
       waiting.push_back(number);
+    } else if (open && FindSession(*snapshot_->state_, pending.sent_to_) == nullptr) {
+      orphaned.push_back(number);
     }
   }
   for (const std::uint64_t number : waiting) {
     Route(number);
   }
+  for (const std::uint64_t number : orphaned) {
+    TakeBack(number);
+  }
+}
+
+// A frozen owner keeps its connections, so nothing else would end the attempt before the deadline.
+void Ingress::TakeBack(std::uint64_t number) {
+  const auto found = pending_.find(number);
+  if (found == pending_.end()) {
+    return;
+  }
+  Pending& pending = found->second;
+  peers_.Forget(std::exchange(pending.peer_number_, 0));
+  if (const std::uint64_t handled = std::exchange(pending.owner_number_, 0); handled != 0) {
+    owner_.Cancel(handled);
+  }
+  pending.maybe_ran_ = true;
+  WaitAndRoute(number, "the session that had the request has ended");
 }
 
 void Ingress::Handle(const std::shared_ptr<HttpExchange>& exchange) {
--- a/Services/sassafrasbay/ingress.h
+++ b/Services/sassafrasbay/ingress.h
@@ -50,6 +50,8 @@
   void SendTo(std::uint64_t number, const Session& owner);
   void OnAnswer(std::uint64_t number, RoutedAnswer answer);
   void OnPeerReply(std::uint64_t number, Result<TrafficMessage> reply);
+  /// Ends an attempt at a session that has ended and routes the request again.
+  void TakeBack(std::uint64_t number);
   void WaitAndRoute(std::uint64_t number, std::string_view reason);
   void Respond(std::uint64_t number, RoutedAnswer answer);
   void Abandon(std::uint64_t number);
