Tests: Check owners that are frozen and resume

The node, its upstream, or both stop for 4 s under load and resume unaware. The load pauses for the moment of the freeze: a run that started before it would go on after it, and grants only stop runs that start too late.

--- a/Tests/Integration/harness/load.cc
+++ b/Tests/Integration/harness/load.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr milliseconds kSampleInterval{20};
+constexpr milliseconds kHoldPoll{1};
 constexpr int kBindingEvery = 4;
 
 /// Longer than the deadline of the classes, so that a live node always answers first.
@@ -97,14 +98,29 @@
   for (int number = 0; !stopping_; ++number) {
     std::this_thread::sleep_for(std::max(next - BootClock::now(), BootClock::duration(0)));
     next = std::max(next + period, BootClock::now());
+    ++open_;
+    while (holding_ && !stopping_) {
+      --open_;
+      std::this_thread::sleep_for(kHoldPoll);
+      ++open_;
+    }
     const bool binding = number % kBindingEvery == kBindingEvery - 1;
     LoadAnswer answer = Ask(port, binding ? "PUT" : "GET", key, kClientTimeout);
+    --open_;
     answer.node_ = node;
     const std::lock_guard lock(mutex_);
     answers_.push_back(std::move(answer));
   }
 }
 
+// A thread counts as open before it looks at the flag, so none can start unseen.
+void SteadyLoad::Hold() {
+  holding_ = true;
+  while (open_ > 0) {
+    std::this_thread::sleep_for(kHoldPoll);
+  }
+}
+
 void SteadyLoad::Stop() {
   stopping_ = true;
   threads_.clear();
--- a/Tests/Integration/harness/load.h
+++ b/Tests/Integration/harness/load.h
@@ -34,6 +34,10 @@
   SteadyLoad(const SteadyLoad&) = delete;
   SteadyLoad& operator=(const SteadyLoad&) = delete;
 
+  /// Sends nothing until Release; returns when no request is open.
+  void Hold();
+  void Release() { holding_ = false; }
+
   /// Waits for the open requests.
   void Stop();
   std::vector<LoadAnswer> Answers() const;
@@ -43,6 +47,8 @@
            milliseconds period);
 
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> holding_ = false;
+  std::atomic<int> open_ = 0;
   mutable std::mutex mutex_;
   std::vector<LoadAnswer> answers_;
   std::vector<std::jthread> threads_;
--- a/Tests/Integration/harness/trial.cc
+++ b/Tests/Integration/harness/trial.cc
@@ -4,7 +4,6 @@
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <map>
-#include <set>
 #include <thread>
 
 namespace sassafrasbay::harness {
@@ -83,20 +82,6 @@
   }
 }
 
-std::size_t CountOpenRuns(const std::filesystem::path& file) {
-  std::set<std::string> open;
-  std::ifstream stream(file);
-  for (std::string line; std::getline(stream, line);) {
-    const json record = json::parse(line, nullptr, false);
-    if (record.is_object() && record["kind"] == "start") {
-      open.insert(record["run"]);
-    } else if (record.is_object() && record["kind"] == "end") {
-      open.erase(record["run"]);
-    }
-  }
-  return open.size();
-}
-
 std::filesystem::path RecordsOf(Trial& trial, std::size_t node) {
   return trial.fleet_->Directory() / (trial.fleet_->Node(node).options_.name_ + ".records");
 }
@@ -207,16 +192,9 @@
 // A run that started before the freeze would go on after it; grants only protect against runs that
 // start too late (design page, section 8).
 void FreezeIdleUpstream(Trial& trial, std::size_t node) {
-  Process& upstream = *trial.fleet_->Node(node).upstream_;
-  const auto is_idle = [&] {
-    upstream.Pause();
-    if (CountOpenRuns(RecordsOf(trial, node)) == 0) {
-      return true;
-    }
-    upstream.Resume();
-    return false;
-  };
-  BOOST_REQUIRE(WaitUntil(is_idle));
+  trial.load_->Hold();
+  trial.fleet_->Node(node).upstream_->Pause();
+  trial.load_->Release();
 }
 
 }  // namespace sassafrasbay::harness
