Services: Announce units again when their grants return

An upstream that was lost for a moment and announced itself again has no grants until the next confirmation. Requests that arrived in between were held for the unit to start, but a unit was announced as serving only once, so nothing started them.

--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -351,6 +351,9 @@
 
 void OwnedUnits::OnGranted() {
   for (auto& [id, unit] : units_) {
+    // An upstream that was lost and announced itself again had no grants in between; requests of
+    // that time are held until the unit is announced once more.
+    unit.announced_ = false;
     AnnounceServing(id, unit);
   }
 }
