Tests: Cut answers off exactly at the proxy's limit

The fault proxy passed on everything it had read before it reset a connection, so an answer that came in one piece arrived whole. Guarded by ResetBreaksOffTheAnswer with a short answer.

--- a/Tests/StandIns/proxy_relay.cc
+++ b/Tests/StandIns/proxy_relay.cc
@@ -94,6 +94,21 @@
   return false;
 }
 
+// Drops what was read beyond the limit; a short answer would otherwise arrive whole before the
+// reset.
+void CutOff(ProxyStream& stream, std::uint64_t count, std::uint64_t limit) {
+  if (limit == 0 || count <= limit || stream.queue_.empty()) {
+    return;
+  }
+  std::string& bytes = stream.queue_.back().bytes_;
+  const std::size_t excess = std::min<std::size_t>(bytes.size(), count - limit);
+  bytes.resize(bytes.size() - excess);
+  stream.queued_bytes_ -= excess;
+  if (bytes.empty()) {
+    stream.queue_.pop_back();
+  }
+}
+
 bool IsDue(const ProxyStream& stream) {
   return !stream.queue_.empty() && stream.queue_.front().due_ <= BootClock::now();
 }
@@ -177,6 +192,7 @@
   if (descriptor == from_target.from_ && (ready & kRead) != 0) {
     failed |= ReadStream(from_target, faults.cut_from_target_, faults.delay_ms_,
                          &connection.answered_bytes_);
+    CutOff(from_target, connection.answered_bytes_, faults.reset_after_bytes_);
   }
   if (!connection.connecting_) {
     failed |= WriteStream(to_target) || WriteStream(from_target);
--- a/Tests/StandIns/test_fault_proxy.cc
+++ b/Tests/StandIns/test_fault_proxy.cc
@@ -133,6 +133,8 @@
   proxied.SetFaults({{"reset_after_bytes", 1000}});
   BOOST_TEST((proxied.Send(std::string(kLargeBody, 'x')) == Errc::kConnectionLost));
   BOOST_TEST(!proxied.Send("short"));
+  proxied.SetFaults({{"reset_after_bytes", 10}});
+  BOOST_TEST((proxied.Send("short") == Errc::kConnectionLost));
 }
 
 // Partitions between two nodes must leave the connections of a third node alone.
