--- /dev/null
+++ b/Tests/Integration/harness/bookings.cc
@@ -0,0 +1,281 @@
+#include "harness/bookings.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cinttypes>
+#include <cstdio>
+#include <map>
+#include <random>
+
+namespace sassafrasbay::harness {
+namespace {
+
+// Longer than every deadline of the service, so that only a lost answer ends a call.
+constexpr milliseconds kCallTimeout{20'000};
+constexpr std::size_t kGrantors = 2;
+
+// No moves of the planner: a test that names the owner of a key needs it to stay.
+constexpr const char* kSettings = "[placement]\nmoves_per_minute = 0\n";
+
+constexpr const char* kRouting = R"([service.bench]
+shards = 12
+key = { from = "path", segment = 2 }
+[[service.bench.class]]
+name = "brief"
+method = "GET"
+path_prefix = "/bench/brief/"
+kind = "idempotent"
+worth = 10
+deadline_ms = 1000
+[[service.bench.class]]
+name = "brief-put"
+method = "PUT"
+path_prefix = "/bench/brief/"
+kind = "idempotent"
+worth = 10
+deadline_ms = 1000
+[[service.bench.class]]
+name = "read"
+method = "GET"
+path_prefix = "/bench/lots/"
+kind = "idempotent"
+worth = 20
+deadline_ms = 6000
+[[service.bench.class]]
+name = "put"
+method = "PUT"
+path_prefix = "/bench/lots/"
+kind = "idempotent"
+worth = 20
+deadline_ms = 6000
+[[service.bench.class]]
+name = "book"
+method = "POST"
+path_prefix = "/bench/lots/"
+kind = "binding"
+worth = 90
+deadline_ms = 6000
+)";
+
+std::string PathOf(const CallerRequest& request) {
+  return std::string(request.rest_ == "brief" ? "/bench/brief/" : "/bench/lots/") + request.key_ +
+         "/" + request.rest_;
+}
+
+bool IsOwnBody(const CallerRequest& request, const std::string& body) {
+  const nlohmann::json value = nlohmann::json::parse(body, nullptr, false);
+  return value.is_object() && value.value("target", "") == PathOf(request) &&
+         value.value("idempotency_key", "") == request.id_ &&
+         value.value("echo", "") == request.body_;
+}
+
+bool HasSessions(Fleet& fleet, std::size_t node, std::size_t count) {
+  const nlohmann::json status = GetJson(fleet.Node(node).callers_port_, "/-/status");
+  if (!status.is_object() || !status.contains("sessions") || status["sessions"].size() != count) {
+    return false;
+  }
+  const std::size_t grantors = std::min(kGrantors, count - 1);
+  return std::ranges::all_of(status["sessions"], [grantors](const nlohmann::json& session) {
+    return session["grantors"].size() >= grantors;
+  });
+}
+
+bool StartAndPublish(Fleet& fleet) {
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    if (!WaitForSessions(fleet, node, fleet.Size())) {
+      std::fprintf(stderr, "node %zu doesn't see all sessions\n", node);
+      return false;
+    }
+  }
+  // Published after the joins, so that the units are spread over all nodes from the start.
+  if (!fleet.Publish({{"bench.routing.toml", kRouting}})) {
+    std::fprintf(stderr, "the publication failed\n");
+    return false;
+  }
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    if (!WaitUntilServing(fleet, node)) {
+      std::fprintf(stderr, "node %zu doesn't serve\n", node);
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+bool IsAcknowledged(const Attempt& attempt) {
+  return attempt.outcome_ == "answered" && attempt.status_ == 200 && attempt.own_body_;
+}
+
+std::string Describe(const Attempt& attempt) {
+  return attempt.request_.method_ + " " + PathOf(attempt.request_) + " id " + attempt.request_.id_ +
+         ": " + attempt.outcome_ + " " + std::to_string(attempt.status_) + " " + attempt.reason_ +
+         " " + attempt.body_.substr(0, 200);
+}
+
+std::string NewId(milliseconds lead) {
+  static std::atomic<std::uint64_t> number{std::random_device{}()};
+  const auto time = static_cast<std::uint64_t>((WallNow() + lead).time_since_epoch().count());
+  std::array<char, 64> text{};
+  std::snprintf(text.data(), text.size(), "%08" PRIx64 "-%04" PRIx64 "-7000-8000-%012" PRIx64,
+                time >> 16U, time & 0xFFFFU, ++number & 0xFFFFFFFFFFFFU);
+  return text.data();
+}
+
+Attempt Send(Fleet& fleet, std::size_t node, const CallerRequest& request) {
+  Attempt attempt{request, "lost", 0, {}, {}, false};
+  HttpRequest call{request.method_, PathOf(request), {}, request.body_};
+  if (!request.id_.empty()) {
+    call.headers_.emplace_back("Idempotency-Key", request.id_);
+  }
+  if (!request.marks_.empty()) {
+    call.headers_.emplace_back("Stand-In", request.marks_);
+  }
+  const auto response = Call(fleet.Node(node).callers_port_, call, kCallTimeout);
+  if (!response) {
+    attempt.reason_ = ToString(response.error());
+    return attempt;
+  }
+  const HttpResponse& answer = response.value();
+  const std::string_view outcome = FindHeader(answer.headers_, "Sassafrasbay-Outcome");
+  attempt.outcome_ = outcome.empty() ? "lost" : std::string(outcome);
+  attempt.status_ = answer.status_;
+  attempt.reason_ = FindHeader(answer.headers_, "Sassafrasbay-Reason");
+  attempt.body_ = answer.body_;
+  attempt.own_body_ = IsOwnBody(request, answer.body_);
+  return attempt;
+}
+
+std::unique_ptr<Fleet> MakeBookingFleet(const BookingFleetOptions& options) {
+  FleetBuilder builder;
+  for (std::size_t i = 0; i < options.data_centres_ * options.nodes_per_data_centre_; ++i) {
+    NodeOptions node;
+    node.data_centre_ = "dc" + std::to_string(i % options.data_centres_);
+    node.extra_settings_ = kSettings;
+    builder.AddNode(std::move(node));
+  }
+  if (options.proxies_) {
+    builder.UseProxies();
+  }
+  auto fleet = builder.Build();
+  if (!fleet) {
+    std::fprintf(stderr, "%s\n", ToString(fleet.error()).c_str());
+    return nullptr;
+  }
+  return StartAndPublish(*fleet.value()) ? std::move(fleet).value() : nullptr;
+}
+
+bool WaitUntilServing(Fleet& fleet, std::size_t node, std::size_t keys) {
+  for (std::size_t key = 0; key < keys; ++key) {
+    const CallerRequest request{.method_ = "GET", .key_ = "probe" + std::to_string(key)};
+    if (!WaitUntil([&] { return IsAcknowledged(Send(fleet, node, request)); })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool WaitForSessions(Fleet& fleet, std::size_t node, std::size_t count) {
+  return WaitUntil([&] { return HasSessions(fleet, node, count); });
+}
+
+std::optional<std::size_t> OwnerOf(Fleet& fleet, std::string_view key, std::size_t asked) {
+  const nlohmann::json body =
+      GetJson(fleet.Node(asked).callers_port_, "/-/explain?service=bench&key=" + std::string(key));
+  if (!body.is_object()) {
+    return std::nullopt;
+  }
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    if (body.value("owner", "") == fleet.Node(node).options_.name_) {
+      return node;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string KeyOwnedBy(Fleet& fleet, std::size_t owner) {
+  static int number = 0;
+  for (int tries = 0; tries < 500; ++tries) {
+    std::string key = "key" + std::to_string(++number);
+    if (OwnerOf(fleet, key, owner) == owner) {
+      return key;
+    }
+  }
+  return {};
+}
+
+std::size_t CountRuns(const Fleet& fleet, std::string_view id) {
+  return static_cast<std::size_t>(
+      std::ranges::count(fleet.Runs(), id, &RunRecord::idempotency_key_));
+}
+
+Attempt Bookings::Send(std::size_t node, const CallerRequest& request) {
+  Attempt attempt = harness::Send(fleet_, node, request);
+  const std::lock_guard lock(mutex_);
+  attempts_.push_back(attempt);
+  return attempt;
+}
+
+std::vector<Attempt> Bookings::Attempts() const {
+  const std::lock_guard lock(mutex_);
+  return attempts_;
+}
+
+Violations Bookings::Check() const {
+  const std::vector<RunRecord> runs = fleet_.Runs();
+  std::vector<AnswerRecord> answers;
+  std::map<std::string, bool> not_run_only;
+  std::map<std::string, std::string> acknowledgements;
+  Violations violations;
+  for (const Attempt& attempt : Attempts()) {
+    const std::string& id = attempt.request_.id_;
+    if (attempt.outcome_ == "answered" && !attempt.own_body_) {
+      violations.push_back("not the whole own answer: " + Describe(attempt));
+    }
+    if (id.empty()) {
+      continue;
+    }
+    const auto [known, first] = not_run_only.emplace(id, true);
+    known->second = known->second && attempt.outcome_ == "not-run";
+    if (IsAcknowledged(attempt) &&
+        acknowledgements.emplace(id, attempt.body_).first->second != attempt.body_) {
+      violations.push_back("two different acknowledgements: " + Describe(attempt));
+    }
+    answers.push_back({.id_ = id,
+                       .key_ = attempt.request_.key_,
+                       .binding_ = attempt.request_.method_ == "POST",
+                       .outcome_ = attempt.outcome_,
+                       .status_ = attempt.status_,
+                       .body_ok_ = attempt.own_body_});
+  }
+  for (AnswerRecord& answer : answers) {
+    answer.not_run_only_ = not_run_only[answer.id_];
+  }
+  for (const Violations& found :
+       {CheckRunsOnce(runs), CheckNotRun(runs, answers), CheckAnsweredRan(runs, answers),
+        CheckOwnersExclusive(runs), CheckTokensIncrease(runs)}) {
+    violations.insert(violations.end(), found.begin(), found.end());
+  }
+  return violations;
+}
+
+Violations Bookings::CheckStillAcknowledged(const std::vector<std::size_t>& nodes) {
+  std::map<std::string, Attempt> acknowledged;
+  for (const Attempt& attempt : Attempts()) {
+    if (attempt.request_.method_ == "POST" && IsAcknowledged(attempt)) {
+      acknowledged.emplace(attempt.request_.id_, attempt);
+    }
+  }
+  Violations violations;
+  std::size_t turn = 0;
+  for (const auto& [id, first] : acknowledged) {
+    const Attempt again = Send(nodes[turn++ % nodes.size()], first.request_);
+    if (!IsAcknowledged(again) || again.body_ != first.body_) {
+      violations.push_back("acknowledged as " + first.body_ + ", then " + Describe(again));
+    }
+  }
+  return violations;
+}
+
+}  // namespace sassafrasbay::harness
