LibControl: Remember earlier holders of an inherited unit

When a data centre is lost, the units of its first ended session may go to another lost session, which ends before it has recovered their request tables. The next owner asked only that session's grantors, which have no copies, so acknowledged bookings became unknown and new ones of these units were refused as unknown for 20 minutes.

A unit now keeps up to four earlier holders, and recovery goes back through them until all grantors of one hold its whole table. A holder without a covering table ran only what it copied itself, so the result is complete when the grantors of every later holder have answered and are current. The fold assigns as before; checkpoints have a new field.

--- a/Libraries/LibControl/cbor_fields.h
+++ b/Libraries/LibControl/cbor_fields.h
@@ -145,12 +145,18 @@
   visit("token", value.token_);
 }
 
+void Fields(auto& visit, Is<Inheritance> auto& value) {
+  visit("session", value.session_);
+  visit("token", value.token_);
+}
+
 void Fields(auto& visit, Is<Unit> auto& value) {
   visit("owner", value.owner_);
   visit("token", value.token_);
   visit("move", value.move_);
   visit("inherited_from", value.inherited_from_);
   visit("inherited_token", value.inherited_token_);
+  visit("earlier_holders", value.earlier_holders_);
 }
 
 void Fields(auto& visit, Is<Override> auto& value) {
--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -51,6 +51,16 @@
   Offset token_ = 0;
 };
 
+/// An ended session that held a unit, and the token it held it under.
+struct Inheritance {
+  SessionId session_;
+  Offset token_ = 0;
+};
+
+/// Earlier holders remembered for each unit. Only sessions that were lost but had not ended yet
+/// when they inherited make the list longer, so more than a few in a row are rare.
+inline constexpr std::size_t kMaxEarlierHolders = 4;
+
 /// Ownership of a shard or key override.
 struct Unit {
   SessionId owner_;  ///< Empty while no session of the service is available.
@@ -60,6 +70,9 @@
   /// handed over.
   SessionId inherited_from_;
   Offset inherited_token_ = 0;  ///< Token under which inherited_from_ held the unit.
+  /// From whom inherited_from_ had inherited, latest first. When it ended before it had recovered
+  /// the request table, the copies are with the grantors of these.
+  std::vector<Inheritance> earlier_holders_;
 };
 
 struct Override {
--- a/Libraries/LibControl/unit_assignment.cc
+++ b/Libraries/LibControl/unit_assignment.cc
@@ -13,6 +13,16 @@
   unit.move_.reset();
 }
 
+void Inherit(Unit& unit, const SessionId& ended, Offset token) {
+  if (!unit.inherited_from_.empty()) {
+    std::vector<Inheritance>& earlier = unit.earlier_holders_;
+    earlier.insert(earlier.begin(), {unit.inherited_from_, unit.inherited_token_});
+    earlier.resize(std::min(earlier.size(), kMaxEarlierHolders));
+  }
+  unit.inherited_from_ = ended;
+  unit.inherited_token_ = token;
+}
+
 }  // namespace
 
 UnitCounts CountsOfAvailableSessions(const ControlState& state, std::string_view service) {
@@ -88,15 +98,13 @@
       // A running move names the successor, which may already serve after a direct release.
       const bool moving = unit.move_ && step.state_.sessions_.contains(unit.move_->to_);
       const SessionId successor = moving ? unit.move_->to_ : TakeLeastLoaded(counts);
-      unit.inherited_token_ = unit.token_;
+      Inherit(unit, ended.session_, unit.token_);
       Assign(step, id, unit, successor, moving ? "owner ended during a move" : "owner ended");
-      unit.inherited_from_ = ended.session_;
     } else if (unit.move_ && unit.move_->to_ == ended.session_) {
       // The target may have served the unit after a direct release, so the old owner needs a new
       // token and the target's request table.
-      unit.inherited_token_ = unit.move_->token_;
+      Inherit(unit, ended.session_, unit.move_->token_);
       Assign(step, id, unit, unit.owner_, "target of the move ended");
-      unit.inherited_from_ = ended.session_;
     }
   });
 }
--- a/Libraries/LibControl/unit_rules.cc
+++ b/Libraries/LibControl/unit_rules.cc
@@ -44,6 +44,7 @@
   unit.token_ = unit.move_->token_;
   unit.move_.reset();
   unit.inherited_from_.clear();
+  unit.earlier_holders_.clear();
 }
 
 /// The shard that holds a key, regardless of overrides.
@@ -110,6 +111,7 @@
   // The owner starts the override with its own copy of the shard's request table, whatever that
   // table was recovered from.
   entry.ownership_.inherited_from_.clear();
+  entry.ownership_.earlier_holders_.clear();
   ++units.next_override_unit_;
   step.verdict_.decisions_.push_back(
       {{record.service_, entry.unit_}, shard.owner_, shard.owner_, step.offset_, "key split off"});
--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -177,7 +177,7 @@
 
 void OwnedUnits::Recover(const UnitId& id, const Unit& unit) {
   copies_.Recover(
-      unit.inherited_from_, id, unit.inherited_token_,
+      id, unit,
       [this, id, token = unit.token_](bool complete, const std::vector<TableEntry>& entries) {
         const auto found = units_.find(id);
         if (found == units_.end() || found->second.token_ != token) {
--- a/Services/sassafrasbay/request_copies.cc
+++ b/Services/sassafrasbay/request_copies.cc
@@ -61,14 +61,20 @@
 }
 
 struct RequestCopies::Recovery {
+  UnitId unit_;
+  std::vector<Inheritance> holders_;  ///< Latest first.
+  std::size_t next_ = 0;              ///< Holder whose grantors are asked next.
   std::size_t outstanding_ = 0;
-  bool complete_ = true;
   Offset grantors_changed_at_ = 0;
+  bool covered_ = true;  ///< All grantors of the holder have its whole table of the unit.
+  bool current_ = true;  ///< All grantors of the holders so far have whatever these ran.
   std::map<std::string, TableEntry> entries_;
   std::function<void(bool, std::vector<TableEntry>)> done_;
 
   void Add(const TableReply& reply) {
-    complete_ = complete_ && reply.complete_ && reply.grantors_changed_at_ >= grantors_changed_at_;
+    const bool current = reply.grantors_changed_at_ >= grantors_changed_at_;
+    covered_ = covered_ && reply.complete_ && current;
+    current_ = current_ && current;
     for (const TableEntry& entry : reply.entries_) {
       const auto [found, inserted] = entries_.emplace(entry.id_, entry);
       if (!inserted && entry.phase_ == EntryPhase::kDone) {
@@ -77,48 +83,71 @@
     }
   }
 
-  void Finish() {
-    if (--outstanding_ > 0) {
-      return;
-    }
+  void Miss() {
+    covered_ = false;
+    current_ = false;
+  }
+
+  void Finish(bool complete) {
     std::vector<TableEntry> entries;
     entries.reserve(entries_.size());
     for (auto& [id, entry] : entries_) {
       entries.push_back(std::move(entry));
     }
-    done_(complete_, std::move(entries));
+    done_(complete, std::move(entries));
   }
 };
 
-void RequestCopies::Recover(const SessionId& ended, const UnitId& unit, Offset token,
+void RequestCopies::Recover(const UnitId& id, const Unit& unit,
                             std::function<void(bool, std::vector<TableEntry>)> done) {
   auto recovery = std::make_shared<Recovery>();
+  recovery->unit_ = id;
+  recovery->holders_ = {{unit.inherited_from_, unit.inherited_token_}};
+  recovery->holders_.insert(recovery->holders_.end(), unit.earlier_holders_.begin(),
+                            unit.earlier_holders_.end());
   recovery->done_ = std::move(done);
-  const auto found = snapshot_->state_->ended_.find(ended);
+  RecoverNext(recovery);
+}
+
+// A holder that ended before it had recovered the table ran nothing, and one that had recovered it
+// incompletely copied what it ran itself. In both cases the entries before that are with the
+// grantors of the holder before it.
+void RequestCopies::RecoverNext(const std::shared_ptr<Recovery>& recovery) {
+  const Inheritance& holder = recovery->holders_[recovery->next_++];
+  const auto found = snapshot_->state_->ended_.find(holder.session_);
   if (found == snapshot_->state_->ended_.end() || found->second.grantors_.empty()) {
-    recovery->done_(false, {});
+    recovery->Miss();
+    FinishHolder(recovery);
     return;
   }
+  recovery->covered_ = true;
   recovery->grantors_changed_at_ = found->second.grantors_changed_at_;
   recovery->outstanding_ = found->second.grantors_.size();
+  const TableRequest request{0, holder.session_, {{recovery->unit_, holder.token_}}};
   for (const SessionId& grantor : found->second.grantors_) {
+    const auto receive = [this, recovery](const Result<TrafficMessage>& reply) {
+      const auto* table = reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
+      table != nullptr ? recovery->Add(*table) : recovery->Miss();
+      if (--recovery->outstanding_ == 0) {
+        FinishHolder(recovery);
+      }
+    };
     const Session* session = FindSession(*snapshot_->state_, grantor);
     if (session == nullptr) {
-      recovery->complete_ = false;
-      recovery->Finish();
+      receive(MakeError(Errc::kUnavailable, "recover request ids", grantor, "session has ended"));
       continue;
     }
-    peers_.Request(session->join_.traffic_address_, TableRequest{0, ended, {{unit, token}}},
-                   kRecoveryTimeout, [recovery](const Result<TrafficMessage>& reply) {
-                     const auto* table = reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
-                     if (table != nullptr) {
-                       recovery->Add(*table);
-                     } else {
-                       recovery->complete_ = false;
-                     }
-                     recovery->Finish();
-                   });
+    peers_.Request(session->join_.traffic_address_, request, kRecoveryTimeout, receive);
+  }
+}
+
+void RequestCopies::FinishHolder(const std::shared_ptr<Recovery>& recovery) {
+  const bool complete = recovery->covered_ && recovery->current_;
+  if (complete || recovery->next_ == recovery->holders_.size()) {
+    recovery->Finish(complete);
+    return;
   }
+  RecoverNext(recovery);
 }
 
 std::vector<std::string> RequestCopies::GrantorAddresses() const {
--- a/Services/sassafrasbay/request_copies.h
+++ b/Services/sassafrasbay/request_copies.h
@@ -31,13 +31,17 @@
   void CopyAll(const std::vector<std::pair<UnitId, Offset>>& units,
                const std::vector<TableEntry>& entries);
 
-  /// Collects the copies of a unit of an ended session. `done` gets whether they are complete.
-  void Recover(const SessionId& ended, const UnitId& unit, Offset token,
+  /// Collects the copies of a unit from the grantors of the session it was inherited from, and of
+  /// earlier holders as long as the later ones had not recovered its table. `done` gets whether
+  /// they are complete.
+  void Recover(const UnitId& id, const Unit& unit,
                std::function<void(bool complete, std::vector<TableEntry>)> done);
 
  private:
   struct Recovery;
 
+  void RecoverNext(const std::shared_ptr<Recovery>& recovery);
+  void FinishHolder(const std::shared_ptr<Recovery>& recovery);
   std::vector<std::string> GrantorAddresses() const;
 
   TrafficPeers& peers_;
--- a/Tests/LibControl/test_units.cc
+++ b/Tests/LibControl/test_units.cc
@@ -56,6 +56,26 @@
   BOOST_TEST(UnitAt(log.state_, 0).inherited_from_ == "b1");
 }
 
+// Guards against lost request tables when the heir had failed, too, and ended before it recovered.
+BOOST_AUTO_TEST_CASE(EarlierHoldersAreRemembered) {
+  TestLog log = Fleet();
+  const Offset first = UnitAt(log.state_, 0).token_;
+  log.Append(SessionEnded{"a1"});
+  const Offset second = UnitAt(log.state_, 0).token_;
+  log.Append(SessionEnded{"c1"});
+  const Unit& unit = UnitAt(log.state_, 0);
+  BOOST_TEST(unit.inherited_from_ == "c1");
+  BOOST_TEST(unit.inherited_token_ == second);
+  BOOST_REQUIRE(unit.earlier_holders_.size() == 1U);
+  BOOST_TEST(unit.earlier_holders_[0].session_ == "a1");
+  BOOST_TEST(unit.earlier_holders_[0].token_ == first);
+  for (int i = 0; i < 10; ++i) {
+    log.Append(Join("d" + std::to_string(i), "d"));
+    log.Append(SessionEnded{UnitAt(log.state_, 0).owner_});
+  }
+  BOOST_TEST(UnitAt(log.state_, 0).earlier_holders_.size() == kMaxEarlierHolders);
+}
+
 // Guards against a move that takes effect although owner, token or target have changed.
 BOOST_AUTO_TEST_CASE(MovesAreCheckedOneByOne) {
   TestLog log = Fleet();
