Tests: Check that callers get whole answers to their own requests

Truncated, late, slow and crossed answers, and resets of the connection between two nodes in the middle of a long one.

--- /dev/null
+++ b/Tests/Integration/test_answers.cc
@@ -0,0 +1,133 @@
+#define BOOST_TEST_MODULE Answers
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <random>
+#include <thread>
+
+#include "harness/bookings.h"
+
+using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
+using namespace harness;       // NOLINT(google-build-using-namespace)
+
+namespace {
+
+struct ProxiedFleet {
+  ProxiedFleet() { BOOST_REQUIRE(fleet_ != nullptr); }
+  std::unique_ptr<Fleet> fleet_ = MakeBookingFleet({.proxies_ = true});
+  Bookings bookings_{*fleet_};
+
+  // PUT is idempotent here and has a body, which the upstream echoes.
+  CallerRequest Put(std::string rest, std::string marks) {
+    return {.method_ = "PUT",
+            .key_ = KeyOwnedBy(*fleet_, 0),
+            .id_ = {},
+            .body_ = NewId(),
+            .marks_ = std::move(marks),
+            .rest_ = std::move(rest)};
+  }
+  void CheckAnswers() {
+    for (const Attempt& attempt : bookings_.Attempts()) {
+      BOOST_TEST((attempt.outcome_ != "answered" || attempt.own_body_), Describe(attempt));
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Answers, ProxiedFleet)
+
+// A body that ends early must not be passed on as complete.
+BOOST_AUTO_TEST_CASE(TruncatedAnswerIsUnknown) {
+  for (const std::size_t node : {0U, 1U}) {
+    CallerRequest booking = Put("x", "truncate");
+    const Attempt read = bookings_.Send(node, booking);
+    BOOST_TEST(read.outcome_ == "unknown", Describe(read));
+    booking.method_ = "POST";
+    booking.id_ = NewId();
+    const Attempt booked = bookings_.Send(node, booking);
+    BOOST_TEST(booked.outcome_ == "unknown", Describe(booked));
+    BOOST_TEST(CountRuns(*fleet_, booking.id_) == 1U);
+  }
+  CheckAnswers();
+}
+
+// The answer that comes after the deadline of its request must not reach the next one.
+BOOST_AUTO_TEST_CASE(LateAnswerIsDropped) {
+  for (const std::size_t node : {0U, 1U, 1U}) {
+    const CallerRequest late = Put("brief", "sleep=1500");
+    const Attempt first = bookings_.Send(node, late);
+    BOOST_TEST(first.outcome_ == "unknown", Describe(first));
+    CallerRequest next = late;
+    next.body_ = NewId();
+    next.marks_ = "sleep=700";
+    const Attempt second = bookings_.Send(node, next);
+    BOOST_TEST(IsAcknowledged(second), Describe(second));
+  }
+  CheckAnswers();
+}
+
+BOOST_AUTO_TEST_CASE(SlowAnswerIsWhole) {
+  for (const std::size_t node : {0U, 1U}) {
+    const Attempt attempt = bookings_.Send(node, Put("x", "sleep=2500"));
+    BOOST_TEST(IsAcknowledged(attempt), Describe(attempt));
+  }
+}
+
+// Many answers in flight overtake each other on the connections between nodes and to the upstreams.
+BOOST_AUTO_TEST_CASE(CrossedAnswersReachTheirOwnCallers) {
+  constexpr int kCallers = 12;
+  constexpr int kRequests = 40;
+  std::vector<std::thread> callers;
+  for (unsigned caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([this, caller] {
+      std::mt19937 random(caller);
+      for (int i = 0; i < kRequests; ++i) {
+        const CallerRequest request{
+            .method_ = i % 2 == 0 ? "PUT" : "POST",
+            .key_ = "shared" + std::to_string(random() % 6),
+            .id_ = i % 2 == 0 ? "" : NewId(),
+            .body_ = NewId() + std::string(random() % 20'000, static_cast<char>('a' + caller)),
+            .marks_ = "sleep=" + std::to_string(random() % 40)};
+        bookings_.Send((caller + static_cast<unsigned>(i)) % 3, request);
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const Attempt& attempt : bookings_.Attempts()) {
+    // 12 callers stay below the slots and queues, so each gets its answer.
+    BOOST_TEST(IsAcknowledged(attempt), Describe(attempt));
+  }
+  for (const std::string& violation : bookings_.Check()) {
+    BOOST_ERROR(violation);
+  }
+}
+
+// The connection between the nodes breaks in the middle of a long answer, for a while at each try.
+BOOST_AUTO_TEST_CASE(ResetInTheMiddleOfAnAnswer) {
+  constexpr std::size_t kBodyBytes = 400'000;
+  const pid_t ingress = fleet_->Node(1).node_->Id();
+  for (const char* method : {"PUT", "POST"}) {
+    CallerRequest request = Put("x", "sleep=200");
+    request.method_ = method;
+    request.id_ = NewId();
+    request.body_ = std::string(kBodyBytes, 'b');
+    BOOST_REQUIRE(
+        fleet_->SetProxyFaults("traffic.node0", {{"reset_after_bytes", 100'000}}, ingress));
+    auto answer = std::async(std::launch::async, [&] { return bookings_.Send(1, request); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_REQUIRE(fleet_->SetProxyFaults("traffic.node0", {{"reset_after_bytes", 0}}, ingress));
+    const Attempt attempt = answer.get();
+    BOOST_TEST(IsAcknowledged(attempt), Describe(attempt));
+  }
+  // For as long as the deadline lasts: an error with an outcome, never a short answer.
+  BOOST_REQUIRE(fleet_->SetProxyFaults("traffic.node0", {{"reset_after_bytes", 100'000}}, ingress));
+  CallerRequest request = Put("brief", {});
+  request.body_ = std::string(kBodyBytes, 'c');
+  const Attempt attempt = bookings_.Send(1, request);
+  BOOST_TEST(attempt.outcome_ == "unknown", Describe(attempt));
+  CheckAnswers();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
