--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -177,7 +177,7 @@
 
 void OwnedUnits::Recover(const UnitId& id, const Unit& unit) {
   copies_.Recover(
-      unit.inherited_from_, id, unit.inherited_token_,
+      id, unit,
       [this, id, token = unit.token_](bool complete, const std::vector<TableEntry>& entries) {
         const auto found = units_.find(id);
         if (found == units_.end() || found->second.token_ != token) {
@@ -351,6 +351,9 @@
 
 void OwnedUnits::OnGranted() {
   for (auto& [id, unit] : units_) {
+    // An upstream that was lost and announced itself again had no grants in between; requests of
+    // that time are held until the unit is announced once more.
+    unit.announced_ = false;
     AnnounceServing(id, unit);
   }
 }
