Tests: Measure the cost of a request

The target of 99 in 100 requests within 19 ms and the load that one node bears need figures from runs. The threads of a node get names, since processor time is only useful when control and traffic are told apart.

--- a/Services/sassafrasbay/node.cc
+++ b/Services/sassafrasbay/node.cc
@@ -1,5 +1,7 @@
 #include "node.h"
 
+#include <pthread.h>
+
 #include <csignal>
 #include <ctime>
 #include <thread>
@@ -50,6 +52,9 @@
   SASSAFRASBAY_TRY(control.Open(traffic.Calls(), [&drained] { drained = true; }));
   std::thread traffic_thread([&traffic] { traffic.Run(); });
   std::thread control_thread([&control] { control.Run(); });
+  // Measurements and operators tell the processor time of the two apart by these names.
+  pthread_setname_np(traffic_thread.native_handle(), "traffic");
+  pthread_setname_np(control_thread.native_handle(), "control");
   LogInfo(kPart, "Node " + shared_.settings_.name_ + " of data centre " +
                      shared_.settings_.data_centre_ + " listens for callers at " +
                      ToString(shared_.settings_.callers_) + ".");
--- /dev/null
+++ b/Tests/Measurements/measure_request.cc
@@ -0,0 +1,145 @@
+// Cost of a request: latency added to a call of the upstream itself, processor time and memory.
+#include <cstdio>
+
+#include "measurement.h"
+
+using namespace sassafrasbay;                // NOLINT(google-build-using-namespace)
+using namespace sassafrasbay::measurements;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+constexpr int kRepeats = 3;
+constexpr double kQuietRate = 200;
+constexpr double kBusyRate = 3000;
+/// Each binding request opens a connection of its own to the upstream, so fewer fit.
+constexpr double kBusyBindingRate = 400;
+
+json Plan(std::uint16_t port, bool binding, double rate, int duration_ms) {
+  const json load_class = {{"name", binding ? "bind" : "read"},
+                           {"method", binding ? "POST" : "GET"},
+                           {"prefix", "/bench/lots/"},
+                           {"binding", binding}};
+  return {{"nodes", {harness::LocalAddress(port)}},
+          {"classes", {load_class}},
+          {"requests_per_second", rate},
+          {"duration_ms", duration_ms},
+          {"max_attempts", 1}};
+}
+
+/// node0 and its upstream serve "bench"; the others only forward to it and are its grantors.
+std::unique_ptr<harness::Fleet> Build(int shards, const std::string& extra_settings = {}) {
+  harness::FleetBuilder builder;
+  for (std::size_t index = 0; index < 3; ++index) {
+    AddNode(builder, index,
+            {.service_ = index == 0 ? "bench" : "other",
+             .checks_grants_ = false,
+             .service_ms_ = 0,
+             .extra_settings_ = extra_settings});
+  }
+  return StartFleet(builder, {{"bench.routing.toml", RoutingText("bench", shards)},
+                              {"other.routing.toml", RoutingText("other", 16)}});
+}
+
+std::vector<harness::AnswerRecord> Load(harness::Fleet& fleet, const json& plan) {
+  auto answers = RunLoad(fleet, plan);
+  std::map<int, int> failed;
+  for (const auto& answer : answers) {
+    if (answer.status_ != 200) {
+      ++failed[answer.status_];
+    }
+  }
+  for (const auto& [status, count] : failed) {
+    std::printf("note: %d of %zu requests of the next row had status %d\n", count, answers.size(),
+                status);
+  }
+  return answers;
+}
+
+void MeasureLatency(harness::Fleet& fleet, bool binding, std::size_t ingress) {
+  const std::string name = std::string(binding ? "binding" : "idempotent") +
+                           (ingress == 0 ? ", local owner" : ", remote owner");
+  std::vector<double> difference[2];
+  std::vector<double> ratio[2];
+  for (int repeat = 0; repeat < kRepeats; ++repeat) {
+    const auto direct =
+        Latencies(Load(fleet, Plan(fleet.Node(0).upstream_port_, binding, kQuietRate, 1000)));
+    const auto routed =
+        Latencies(Load(fleet, Plan(fleet.Node(ingress).callers_port_, binding, kQuietRate, 1000)));
+    for (int i = 0; i < 2; ++i) {
+      const double share = i == 0 ? 0.5 : 0.99;
+      difference[i].push_back(Quantile(routed, share) - Quantile(direct, share));
+      ratio[i].push_back(Quantile(routed, share) / Quantile(direct, share));
+    }
+  }
+  PrintRow(name + ": added, p50", difference[0], "ms");
+  PrintRow(name + ": added, p99", difference[1], "ms");
+  PrintRow(name + ": ratio to direct, p50", ratio[0], "");
+  PrintRow(name + ": ratio to direct, p99", ratio[1], "");
+}
+
+void MeasureProcessorTime(harness::Fleet& fleet, bool binding, std::size_t ingress) {
+  const std::string name = std::string(binding ? "binding" : "idempotent") +
+                           (ingress == 0 ? ", local owner" : ", remote owner");
+  std::vector<double> per_request[2];
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    double before[2];
+    for (std::size_t i = 0; i < 2; ++i) {
+      before[i] = ProcessorSeconds(fleet.Node(i).node_->Id(), "traffic");
+    }
+    const auto answers = Load(fleet, Plan(fleet.Node(ingress).callers_port_, binding,
+                                          binding ? kBusyBindingRate : kBusyRate, 2000));
+    for (std::size_t i = 0; i < 2; ++i) {
+      const double used = ProcessorSeconds(fleet.Node(i).node_->Id(), "traffic") - before[i];
+      per_request[i].push_back(used / static_cast<double>(answers.size()) * 1e6);
+    }
+  }
+  PrintRow(name + ": traffic thread of owner", per_request[0], "us/request");
+  if (ingress != 0) {
+    PrintRow(name + ": traffic thread of ingress", per_request[1], "us/request");
+  }
+  std::printf("%-58s %10.0f requests/s per core of the owner node\n", name.c_str(),
+              1e6 / Quantile(per_request[0], 0.5));
+}
+
+void MeasureMemory() {
+  for (const int shards : {64, 256, 1024, 4096}) {
+    const auto fleet = Build(shards);
+    std::vector<double> resident;
+    for (std::size_t index = 0; index < fleet->Size(); ++index) {
+      resident.push_back(ResidentMebibytes(fleet->Node(index).node_->Id()));
+    }
+    PrintRow("resident memory, idle node, " + std::to_string(shards) + " shards", resident, "MiB");
+  }
+}
+
+template <typename Measure>
+void ForEachKind(harness::Fleet& fleet, Measure measure) {
+  for (const bool binding : {false, true}) {
+    for (const std::size_t ingress : {0, 1}) {
+      measure(fleet, binding, ingress);
+    }
+  }
+}
+
+}  // namespace
+
+/// Without an argument everything, otherwise one of latency, processor and memory.
+int main(int argc, char** argv) {
+  const std::string part = argc > 1 ? argv[1] : "";
+  {
+    const auto fleet = Build(64);
+    if (part.empty() || part == "latency") {
+      ForEachKind(*fleet, MeasureLatency);
+    }
+    if (part.empty() || part == "processor") {
+      ForEachKind(*fleet, MeasureProcessorTime);
+      PrintRow("resident memory, owner after these runs",
+               {ResidentMebibytes(fleet->Node(0).node_->Id())}, "MiB");
+    }
+  }
+  if (part.empty() || part == "memory") {
+    MeasureMemory();
+  }
+  return 0;
+}
--- /dev/null
+++ b/Tests/Measurements/measurement.cc
@@ -0,0 +1,208 @@
+#include "measurement.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace sassafrasbay::measurements {
+
+using harness::AnswerRecord;
+using harness::Fleet;
+
+namespace {
+
+std::string ReadText(const std::filesystem::path& file) {
+  std::ifstream stream(file);
+  return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+/// User and system time of a /proc stat file, whose second field may hold spaces.
+double StatSeconds(const std::filesystem::path& file) {
+  const std::string text = ReadText(file);
+  std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+  constexpr int kFieldsBeforeTimes = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double NumberAfter(const std::string& text, std::string_view label) {
+  const std::size_t at = text.find(label);
+  return at == std::string::npos ? 0 : std::strtod(text.c_str() + at + label.size(), nullptr);
+}
+
+bool IsReady(Fleet& fleet, std::size_t index) {
+  const nlohmann::json status = harness::GetJson(fleet.Node(index).callers_port_, "/-/status");
+  return status.is_object() && status.value("configuration_version", 0) >= 1 &&
+         !status.value("session", "").empty() && status.value("lease_remaining_ms", 0) > 0 &&
+         status["sessions"].size() == fleet.Size() && status.value("units_held", 0) > 0;
+}
+
+}  // namespace
+
+void Require(bool condition, std::string_view what) {
+  if (!condition) {
+    std::fprintf(stderr, "Measurement failed: %s\n", std::string(what).c_str());
+    // Not abort: the destructors of the fleet's processes aren't run, but each child is killed when
+    // this thread ends.
+    std::_Exit(1);
+  }
+}
+
+double Quantile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+void PrintRow(std::string_view name, const std::vector<double>& repeats, std::string_view unit) {
+  std::printf("%-58s %10.3f (%.3f to %.3f, n=%zu) %s\n", std::string(name).c_str(),
+              Quantile(repeats, 0.5), Quantile(repeats, 0), Quantile(repeats, 1), repeats.size(),
+              std::string(unit).c_str());
+  std::fflush(stdout);
+}
+
+double LoadAverage() {
+  double load = 0;
+  return getloadavg(&load, 1) == 1 ? load : -1;
+}
+
+double ProcessorSeconds(pid_t process, std::string_view thread) {
+  const std::filesystem::path directory = "/proc/" + std::to_string(process);
+  if (thread.empty()) {
+    return StatSeconds(directory / "stat");
+  }
+  for (const auto& task : std::filesystem::directory_iterator(directory / "task")) {
+    if (ReadText(task.path() / "comm") == std::string(thread) + "\n") {
+      return StatSeconds(task.path() / "stat");
+    }
+  }
+  Require(false, "no thread of this name");
+  return 0;
+}
+
+double ResidentMebibytes(pid_t process) {
+  constexpr double kKibibytes = 1024;
+  return NumberAfter(ReadText("/proc/" + std::to_string(process) + "/status"), "VmRSS:") /
+         kKibibytes;
+}
+
+double MetricValue(std::uint16_t callers_port, std::string_view name) {
+  const auto answer = harness::Call(callers_port, {"GET", "/-/metrics", {}, {}});
+  Require(answer.has_value(), "metrics");
+  std::istringstream lines(answer.value().body_);
+  double sum = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(name) && (line[name.size()] == ' ' || line[name.size()] == '{')) {
+      sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+    }
+  }
+  return sum;
+}
+
+double ConnectionBytes(pid_t process, std::uint16_t remote_port) {
+  const std::string command = "ss -tinpHO dport = " + std::to_string(remote_port);
+  FILE* pipe = popen(command.c_str(), "r");  // NOLINT(cert-env33-c)
+  Require(pipe != nullptr, "ss");
+  double sum = 0;
+  std::array<char, 4096> line{};
+  while (fgets(line.data(), line.size(), pipe) != nullptr) {
+    const std::string text = line.data();
+    if (text.find("pid=" + std::to_string(process) + ",") != std::string::npos) {
+      sum += NumberAfter(text, "bytes_sent:") + NumberAfter(text, "bytes_received:");
+    }
+  }
+  pclose(pipe);
+  return sum;
+}
+
+std::string RoutingText(std::string_view service, int shards) {
+  const std::string name(service);
+  const std::string head = "[[service." + name + ".class]]\nname = ";
+  const std::string tail = "path_prefix = \"/" + name + "/\"\ndeadline_ms = 3000\n";
+  return "[service." + name + "]\nshards = " + std::to_string(shards) +
+         "\nkey = { from = \"path\", segment = 2 }\n" + head +
+         "\"read\"\nmethod = \"GET\"\nkind = \"idempotent\"\nworth = 50\n" + tail + head +
+         "\"bind\"\nmethod = \"POST\"\nkind = \"binding\"\nworth = 90\n" + tail;
+}
+
+void AddNode(harness::FleetBuilder& builder, std::size_t index, harness::NodeOptions options) {
+  constexpr std::size_t kDataCentres = 3;
+  options.data_centre_ = "dc" + std::to_string(index % kDataCentres);
+  options.name_ = "node" + std::to_string(index);
+  builder.AddNode(std::move(options));
+}
+
+std::unique_ptr<Fleet> StartFleet(harness::FleetBuilder& builder,
+                                  const std::map<std::string, std::string>& files) {
+  auto fleet = builder.Build();
+  Require(fleet.has_value(), "start fleet");
+  Require(fleet.value()->Publish(files), "publish");
+  for (std::size_t index = 0; index < fleet.value()->Size(); ++index) {
+    Require(harness::WaitUntil([&] { return IsReady(*fleet.value(), index); }), "node ready");
+  }
+  return std::move(fleet).value();
+}
+
+std::vector<AnswerRecord> RunLoad(Fleet& fleet, const nlohmann::json& plan) {
+  const std::filesystem::path file = fleet.Directory() / "plan.json";
+  const std::filesystem::path output = fleet.Directory() / "answers";
+  std::filesystem::remove(output);
+  std::ofstream(file) << plan.dump();
+  const std::vector<std::string> arguments = {"--plan=" + file.string(),
+                                              "--output=" + output.string()};
+  const auto generator = harness::Process::Start(SASSAFRASBAY_STAND_INS "/load_generator",
+                                                 arguments, fleet.Directory() / "load.log");
+  Require(generator && generator.value()->Wait(std::chrono::minutes(2)) == 0, "load generator");
+  return harness::ReadAnswers(output);
+}
+
+std::vector<double> Latencies(const std::vector<AnswerRecord>& answers) {
+  std::vector<double> values;
+  values.reserve(answers.size());
+  for (const AnswerRecord& answer : answers) {
+    values.push_back(answer.latency_ms_);
+  }
+  return values;
+}
+
+Fit FitLine(const std::vector<std::pair<double, double>>& points) {
+  const auto count = static_cast<double>(points.size());
+  double mean_x = 0;
+  double mean_y = 0;
+  for (const auto& [x, y] : points) {
+    mean_x += x / count;
+    mean_y += y / count;
+  }
+  double xx = 0;
+  double xy = 0;
+  for (const auto& [x, y] : points) {
+    xx += (x - mean_x) * (x - mean_x);
+    xy += (x - mean_x) * (y - mean_y);
+  }
+  Fit fit;
+  fit.slope_ = xy / xx;
+  fit.intercept_ = mean_y - fit.slope_ * mean_x;
+  double residuals = 0;
+  for (const auto& [x, y] : points) {
+    residuals += std::pow(y - fit.intercept_ - fit.slope_ * x, 2);
+  }
+  fit.slope_error_ = std::sqrt(residuals / (count - 2) / xx);
+  return fit;
+}
+
+}  // namespace sassafrasbay::measurements
