Services: Count the ownership moves that a node sees

A move is counted when the owner changes, not when the move starts; what a starting node replays from the log happened before its time and isn't counted.

--- a/Services/sassafrasbay/log_follower.cc
+++ b/Services/sassafrasbay/log_follower.cc
@@ -13,6 +13,14 @@
 constexpr milliseconds kRetryDelay{100};
 constexpr std::size_t kRecordsPerRead = 500;
 
+/// False for the first assignment of a unit, and for records that only start a move: its completion
+/// or the end of the session changes the owner.
+bool ChangesOwner(const PlacementDecision& decision, const Record& record) {
+  const bool only_starts = std::holds_alternative<MovesStarted>(record.body_) ||
+                           std::holds_alternative<SessionDraining>(record.body_);
+  return !only_starts && !decision.from_.empty() && decision.from_ != decision.to_;
+}
+
 }  // namespace
 
 LogFollower::LogFollower(ReactorLoop& loop, SharedState& shared, LogClient& log)
@@ -46,6 +54,7 @@
     changed = changed || !scanning_;
   }
   caught_up_ = !scanning_ && batch.records_.size() < kRecordsPerRead;
+  counts_moves_ = counts_moves_ || caught_up_;
   if ((changed || caught_up_ != was_caught_up) && !scanning_) {
     hooks_.on_changed_();
   }
@@ -84,6 +93,11 @@
   shared_.metrics_.Count("sassafrasbay_log_records_total",
                          verdict.valid_ ? "valid=\"true\"" : "valid=\"false\"");
   for (const PlacementDecision& decision : verdict.decisions_) {
+    // Moves that a starting node replays happened before its time.
+    if (counts_moves_ && ChangesOwner(decision, record.value())) {
+      shared_.metrics_.Count("sassafrasbay_ownership_moves_total",
+                             "service=\"" + decision.unit_.service_ + "\"");
+    }
     LogInfo("placement", "Unit " + decision.unit_.service_ + "/" +
                              std::to_string(decision.unit_.unit_) + " goes from " +
                              (decision.from_.empty() ? "nobody" : decision.from_) + " to " +
--- a/Services/sassafrasbay/log_follower.h
+++ b/Services/sassafrasbay/log_follower.h
@@ -55,6 +55,7 @@
   Hooks hooks_;
   ControlState state_;
   bool caught_up_ = false;
+  bool counts_moves_ = false;  ///< The log has been read to its end once.
   bool stopped_ = false;
   /// While scanning for a checkpoint: records read so far, from the first retained one.
   bool scanning_ = false;
