--- a/Services/sassafrasbay/upstream_link.cc
+++ b/Services/sassafrasbay/upstream_link.cc
@@ -137,12 +137,13 @@
   call.base_url_ = BaseUrl();
   call.request_ = {"GET", "/-/health", {}, {}};
   call.timeout_ = kProbeTimeout;
-  probes_->Start(std::move(call), [this, address = announcement_->address_](const HttpResult& result) {
-    probe_running_ = false;
-    if (announcement_->address_ == address) {
-      OnProbe(result);
-    }
-  });
+  probes_->Start(std::move(call),
+                 [this, address = announcement_->address_](const HttpResult& result) {
+                   probe_running_ = false;
+                   if (announcement_->address_ == address) {
+                     OnProbe(result);
+                   }
+                 });
 }
 
 void UpstreamLink::OnProbe(const HttpResult& result) {
