--- a/Tests/Integration/harness/history.cc
+++ b/Tests/Integration/harness/history.cc
@@ -137,6 +137,7 @@
     answer.not_run_only_ = line.at("not_run_only");
     answer.body_ok_ = line.at("body_ok");
     answer.latency_ms_ = line.at("latency_ms");
+    answer.end_ms_ = line.value("end_ms", answer.end_ms_);
     answers.push_back(std::move(answer));
   }
   return answers;
--- a/Tests/Integration/harness/history.h
+++ b/Tests/Integration/harness/history.h
@@ -38,6 +38,7 @@
   bool not_run_only_ = false;  ///< Every attempt was answered not-run.
   bool body_ok_ = false;       ///< The body is whole and belongs to the request.
   double latency_ms_ = 0;
+  std::int64_t end_ms_ = 0;  ///< CLOCK_BOOTTIME.
 };
 
 /// Reads a record file of an upstream stand-in; a last line that was cut off is ignored.
--- a/Tests/StandIns/load_generator.cc
+++ b/Tests/StandIns/load_generator.cc
@@ -55,6 +55,7 @@
 void EndFlight(Generator& generator, Flight& flight) {
   const BootTime now = BootClock::now();
   flight.result_.latency_ms_ = std::chrono::duration<double, std::milli>(now - flight.due_).count();
+  flight.result_.end_ms_ = ToBootMilliseconds(now);
   CountEnd(generator.report_, flight.result_, now);
   generator.output_ << ToLine(flight.result_);
   StopWhenDone(generator);
--- a/Tests/StandIns/load_report.cc
+++ b/Tests/StandIns/load_report.cc
@@ -84,7 +84,8 @@
                      {"attempts", result.attempts_},
                      {"not_run_only", result.not_run_only_},
                      {"body_ok", result.body_ok_},
-                     {"latency_ms", result.latency_ms_}};
+                     {"latency_ms", result.latency_ms_},
+                     {"end_ms", result.end_ms_}};
   return line.dump() + "\n";
 }
 
--- a/Tests/StandIns/load_report.h
+++ b/Tests/StandIns/load_report.h
@@ -23,6 +23,7 @@
   bool not_run_only_ = false;  ///< Every attempt was answered not-run.
   bool body_ok_ = false;       ///< The body is whole and belongs to the request.
   double latency_ms_ = 0;      ///< From the time at which the request was due.
+  std::int64_t end_ms_ = 0;    ///< CLOCK_BOOTTIME.
 };
 
 /// Since when a key has been asked for without an answer.
