Services: Correct the help texts and three messages

Every command of README.md was run against a fleet. The usage lines lacked the program's name, the examples named a service and files that don't exist, publish announced a list of differing files that was empty, explain printed an empty owner, and a binding request without an id was told "not a UUID".

--- a/Libraries/LibRouting/request_table.cc
+++ b/Libraries/LibRouting/request_table.cc
@@ -121,6 +121,9 @@
   const auto fail = [](std::string_view detail) {
     return MakeError(Errc::kInvalidArgument, "read idempotency key", "", detail);
   };
+  if (id.empty()) {
+    return fail("a binding request needs an Idempotency-Key that is a UUIDv7");
+  }
   if (id.size() != kUuidLength) {
     return fail("not a UUID");
   }
--- a/Services/sassafrasbay/check_command.cc
+++ b/Services/sassafrasbay/check_command.cc
@@ -15,7 +15,7 @@
     "FILE...\n\n"
     "Checks settings files, and routing files (*.routing.toml) together as one configuration.\n"
     "Prints every fault as file:line: key: message. Starts nothing.\n\n"
-    "Example:\n  sassafrasbay check node.toml bench-lookup.routing.toml\n";
+    "Example:\n  sassafrasbay check node.toml bench_lookups.routing.toml\n";
 
 }  // namespace
 
--- a/Services/sassafrasbay/command_line.cc
+++ b/Services/sassafrasbay/command_line.cc
@@ -36,9 +36,12 @@
   std::vector<char*> values(options.size(), nullptr);
   const std::vector<poptOption> table = PoptTable(options, values);
   const std::string name = std::string("sassafrasbay ") + arguments[0];
-  const PoptContext context(poptGetContext(name.c_str(), static_cast<int>(arguments.size()),
-                                           arguments.data(), table.data(), 0),
-                            &poptFreeContext);
+  // popt takes the name in its usage line from the first argument.
+  std::vector<const char*> named(arguments.begin(), arguments.end());
+  named.front() = name.c_str();
+  const PoptContext context(
+      poptGetContext(name.c_str(), static_cast<int>(named.size()), named.data(), table.data(), 0),
+      &poptFreeContext);
   const std::string help_text(help);
   poptSetOtherOptionHelp(context.get(), help_text.c_str());
   const int result = poptGetNextOpt(context.get());
--- a/Services/sassafrasbay/publish_command.cc
+++ b/Services/sassafrasbay/publish_command.cc
@@ -109,17 +109,19 @@
   void Conflict(const std::string& reason) {
     std::cerr << "sassafrasbay publish: refused: " << reason << "; version "
               << follower_.State().configuration_version_ << " was published by "
-              << (latest_publisher_.empty() ? "another publisher" : latest_publisher_)
-              << ". Files that differ from it:\n";
+              << (latest_publisher_.empty() ? "another publisher" : latest_publisher_) << ".";
+    std::string differing;
     for (const RoutingFile& file : record_.files_) {
       const auto& current = follower_.State().files_;
       const auto found = std::find_if(current.begin(), current.end(), [&file](const auto& other) {
         return other.name_ == file.name_;
       });
       if (found == current.end() || found->text_ != file.text_) {
-        std::cerr << "  " << file.name_ << "\n";
+        differing += "  " + file.name_ + "\n";
       }
     }
+    std::cerr << (differing.empty() ? " Its files are the same.\n"
+                                    : " Files that differ from it:\n" + differing);
     Finish(ExitCode::kConflict);
   }
 
--- a/Services/sassafrasbay/query_commands.cc
+++ b/Services/sassafrasbay/query_commands.cc
@@ -26,7 +26,7 @@
 constexpr std::string_view kExplainHelp =
     "--node ADDRESS --service NAME KEY\n\n"
     "Shows which node owns a key, under which token and since which offset of the log.\n\n"
-    "Example:\n  sassafrasbay explain --node 127.0.0.1:8080 --service bench-lookup bin-17\n";
+    "Example:\n  sassafrasbay explain --node 127.0.0.1:8080 --service bench-lookups bin-17\n";
 
 /// Asks the node's operator API; nothing, with a line on standard error, when that fails.
 std::optional<json> Query(std::string_view command, const std::string& node,
@@ -136,8 +136,8 @@
   std::cout << "Key " << Text(*answer, "key") << " of " << Text(*answer, "service")
             << " is in unit " << Text(*answer, "unit")
             << (answer->value("key_override", false) ? " (its own)" : "") << ", owned by "
-            << Text(*answer, "owner") << " under token " << Text(*answer, "token")
-            << ", the log offset that assigned it.\n";
+            << (answer->value("owner", "").empty() ? "nobody" : Text(*answer, "owner"))
+            << " under token " << Text(*answer, "token") << ", the log offset that assigned it.\n";
   if (answer->contains("moving_to")) {
     std::cout << "It is moving to " << Text(*answer, "moving_to") << " under token "
               << Text(*answer, "move_token") << ".\n";
