Tests: Check owners that are cut off

An owner is cut from its grantors, from the log, or from both for 4 s under load. Its keys must be served again within 2 s and never by two owners; cut from the log only, every owner must go on serving, and cut from both, the former owner's upstream must run nothing afterwards.

--- a/Tests/Integration/harness/trial.cc
+++ b/Tests/Integration/harness/trial.cc
@@ -1,6 +1,7 @@
 #include "harness/trial.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <map>
@@ -11,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr std::string_view kPrefix = "/bench/";
 constexpr std::size_t kKeys = 6;
 constexpr int kCandidates = 200;
 constexpr milliseconds kWarmUp{1000};
@@ -54,6 +56,14 @@
   return true;
 }
 
+void RequireJoined(Fleet& fleet, bool with_units) {
+  const bool joined = WaitUntil([&] { return AllJoined(fleet, with_units); });
+  for (std::size_t node = 0; !joined && node < fleet.Size(); ++node) {
+    BOOST_TEST_MESSAGE(GetJson(fleet.Node(node).callers_port_, "/-/status").dump());
+  }
+  BOOST_REQUIRE_MESSAGE(joined, "a node has not joined, or has not got two grantors");
+}
+
 // Asks for candidates until each node has run enough of them: the upstreams' records say who owns
 // a key.
 void ChooseKeys(Trial& trial) {
@@ -67,7 +77,7 @@
     }));
   }
   for (const RunRecord& run : fleet.Runs()) {
-    owners[run.path_.substr(std::string_view("/bench/").size())] = run.port_;
+    owners[run.path_.substr(kPrefix.size())] = run.port_;
   }
   for (const auto& [key, port] : owners) {
     for (std::size_t node = 0; node < fleet.Size(); ++node) {
@@ -106,9 +116,9 @@
   BOOST_REQUIRE_MESSAGE(fleet, (fleet ? "" : ToString(fleet.error())));
   trial.fleet_ = std::move(fleet).value();
   // Units are divided over the sessions that have joined when the service is published.
-  BOOST_REQUIRE(WaitUntil([&] { return AllJoined(*trial.fleet_, false); }));
+  RequireJoined(*trial.fleet_, false);
   BOOST_REQUIRE(trial.fleet_->Publish({{"bench.routing.toml", kRouting}}));
-  BOOST_REQUIRE(WaitUntil([&] { return AllJoined(*trial.fleet_, true); }));
+  RequireJoined(*trial.fleet_, true);
   ChooseKeys(trial);
   trial.load_ = std::make_unique<SteadyLoad>(*trial.fleet_, KeysNotOf(trial, {}));
   std::this_thread::sleep_for(kWarmUp);
@@ -172,6 +182,19 @@
   }
 }
 
+void CheckOwnersKept(Trial& trial, std::span<const std::size_t> lost, std::int64_t from_ms) {
+  for (std::size_t node = 0; node < trial.keys_.size(); ++node) {
+    const std::vector<std::string> foreign = KeysNotOf(trial, std::array{node});
+    const std::vector<std::string> orphans = KeysOf(trial, lost);
+    for (const RunRecord& run : RunsAfter(trial, node, from_ms)) {
+      const std::string key = run.path_.substr(kPrefix.size());
+      const bool moved = std::ranges::find(foreign, key) != foreign.end() &&
+                         std::ranges::find(orphans, key) == orphans.end();
+      BOOST_TEST(!moved, key << " has moved to node " << node);
+    }
+  }
+}
+
 std::vector<RunRecord> RunsAfter(Trial& trial, std::size_t node, std::int64_t from_ms) {
   auto runs = ReadRuns(RecordsOf(trial, node));
   std::erase_if(runs, [from_ms](const RunRecord& run) { return run.start_ms_ < from_ms; });
--- a/Tests/Integration/harness/trial.h
+++ b/Tests/Integration/harness/trial.h
@@ -12,6 +12,10 @@
 /// Design page, section 4: a key is served again after a loss.
 inline constexpr std::int64_t kServedAgainMs = 2000;
 
+/// Longest time without an answer for a key whose owner must go on serving. Above the delays of
+/// single retries, and not above the lease: an owner whose lease lapses is silent for longer.
+inline constexpr std::int64_t kKeepsServingMs = 1000;
+
 struct TrialOptions {
   std::size_t nodes_ = 6;  ///< Divided evenly over three data centres.
   bool proxies_ = false;
@@ -46,6 +50,9 @@
 void CheckServed(std::span<const LoadAnswer> answers, std::span<const std::string> keys,
                  std::int64_t from_ms, std::int64_t limit_ms);
 
+/// Checks that the keys of all nodes but `lost` ran only at the upstreams that owned them at first.
+void CheckOwnersKept(Trial& trial, std::span<const std::size_t> lost, std::int64_t from_ms);
+
 /// Runs at the upstream of a node that started at or after the time.
 std::vector<RunRecord> RunsAfter(Trial& trial, std::size_t node, std::int64_t from_ms);
 
