Tests: Send a request that crashes its upstream

Its caller sends it again through other nodes, idempotent and binding with new ids, while the test restarts the upstreams. After the second crash every node refuses it as not-run, also after its owner was killed, and ordinary requests for the same key go on. The same id never runs twice.

--- /dev/null
+++ b/Tests/Integration/test_crashing_request.cc
@@ -0,0 +1,100 @@
+#define BOOST_TEST_MODULE CrashingRequest
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "harness/bookings.h"
+
+using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
+using namespace harness;       // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr std::size_t kCrashesUntilRefused = 2;
+
+std::size_t CountRunsOfPath(const Fleet& fleet, std::string_view path) {
+  return static_cast<std::size_t>(std::ranges::count(fleet.Runs(), path, &RunRecord::path_));
+}
+
+// Starts upstreams again that have ended, and waits until all nodes take part.
+void RestartCrashed(Fleet& fleet) {
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    if (!fleet.Node(node).upstream_->IsRunning()) {
+      BOOST_REQUIRE(fleet.StartUpstream(node));
+    }
+  }
+  BOOST_REQUIRE(WaitForSessions(fleet, 0, fleet.Size()));
+  BOOST_REQUIRE(WaitUntilServing(fleet, 0));
+}
+
+// Ordinary requests for the same key must go on through every node.
+void CheckOrdinary(Fleet& fleet, Bookings& bookings, const std::string& key) {
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    const Attempt read = bookings.Send(node, {.method_ = "PUT", .key_ = key, .body_ = NewId()});
+    BOOST_TEST(IsAcknowledged(read), Describe(read));
+    const Attempt booked = bookings.Send(node, {.key_ = key, .id_ = NewId(), .body_ = "lot"});
+    BOOST_TEST(IsAcknowledged(booked), Describe(booked));
+  }
+}
+
+// Sends the request again through one node after the other, as its caller does.
+void CheckCrashes(const std::string& method) {
+  const auto fleet = MakeBookingFleet({.data_centres_ = 3, .nodes_per_data_centre_ = 2});
+  BOOST_REQUIRE(fleet != nullptr);
+  Bookings bookings(*fleet);
+  const std::string key = KeyOwnedBy(*fleet, 0);
+  CallerRequest request{
+      .method_ = method, .key_ = key, .body_ = "faulty", .marks_ = "crash", .rest_ = "crashing"};
+  const auto send = [&](std::size_t node) {
+    // A caller that gives its booking a new id sends the same fingerprint.
+    request.id_ = method == "POST" ? NewId() : "";
+    return bookings.Send(node, request);
+  };
+  for (std::size_t crash = 1; crash <= kCrashesUntilRefused; ++crash) {
+    const Attempt attempt = send(crash);
+    BOOST_TEST(attempt.outcome_ == "unknown", Describe(attempt));
+    // Not retried on another upstream.
+    BOOST_TEST(CountRunsOfPath(*fleet, "/bench/lots/" + key + "/crashing") == crash);
+    RestartCrashed(*fleet);
+    CheckOrdinary(*fleet, bookings, key);
+  }
+  for (std::size_t node = 0; node < fleet->Size(); ++node) {
+    const Attempt refused = send(node);
+    BOOST_TEST(refused.outcome_ == "not-run", Describe(refused));
+  }
+  // Fleet-wide: the next owner of the key has never run the request.
+  const std::size_t owner = OwnerOf(*fleet, key, 0).value_or(0);
+  const std::size_t other = (owner + 1) % fleet->Size();
+  fleet->Node(owner).node_->Kill();
+  BOOST_REQUIRE(WaitForSessions(*fleet, other, fleet->Size() - 1));
+  const Attempt refused = send(other);
+  BOOST_TEST(refused.outcome_ == "not-run", Describe(refused));
+  BOOST_TEST((OwnerOf(*fleet, key, other) != owner));
+  BOOST_TEST(CountRunsOfPath(*fleet, "/bench/lots/" + key + "/crashing") == kCrashesUntilRefused);
+  for (const std::string& violation : bookings.Check()) {
+    BOOST_ERROR(violation);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(IdempotentRequestIsRefusedAfterTwoCrashes) { CheckCrashes("PUT"); }
+
+BOOST_AUTO_TEST_CASE(BindingRequestIsRefusedAfterTwoCrashes) { CheckCrashes("POST"); }
+
+// The id that crashed its upstream stays unknown wherever it is asked again, and never runs twice.
+BOOST_AUTO_TEST_CASE(SameIdNeverCrashesTwice) {
+  const auto fleet = MakeBookingFleet({});
+  BOOST_REQUIRE(fleet != nullptr);
+  Bookings bookings(*fleet);
+  const CallerRequest request{
+      .key_ = KeyOwnedBy(*fleet, 0), .id_ = NewId(), .body_ = "faulty", .marks_ = "crash"};
+  for (const std::size_t node : {1U, 2U, 0U}) {
+    const Attempt attempt = bookings.Send(node, request);
+    BOOST_TEST(attempt.outcome_ == "unknown", Describe(attempt));
+    RestartCrashed(*fleet);
+  }
+  BOOST_TEST(CountRuns(*fleet, request.id_) == 1U);
+  for (const std::string& violation : bookings.Check()) {
+    BOOST_ERROR(violation);
+  }
+}
