Tests: Lose and delay appends to the log

Publish reads its verdict back when the answer is lost, nodes whose answers are lost join once, a publication that takes effect after its publisher exited with code 5 is in force everywhere, and nowhere when another one came in between.

--- /dev/null
+++ b/Tests/Integration/test_log_faults.cc
@@ -0,0 +1,146 @@
+#define BOOST_TEST_MODULE LogFaults
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <thread>
+
+#include "configuration_support.h"
+
+using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
+using namespace harness;       // NOLINT(google-build-using-namespace)
+
+namespace {
+
+/// Stated target for an accepted version to be in force on every node.
+constexpr std::chrono::seconds kInForce{15};
+
+/// Longer than publish's --timeout of 1 s.
+constexpr int kDelayMs = 8000;
+
+std::unique_ptr<Fleet> BuildFleet(bool start_nodes) {
+  FleetBuilder builder;
+  builder.AddNode({.data_centre_ = "dc1"})
+      .AddNode({.data_centre_ = "dc2"})
+      .AddNode({.data_centre_ = "dc3"});
+  if (!start_nodes) {
+    builder.StartNothingButLog();
+  }
+  auto fleet = builder.Build();
+  BOOST_REQUIRE_MESSAGE(fleet, (fleet ? "" : ToString(fleet.error())));
+  return std::move(fleet).value();
+}
+
+CommandResult Publish(const Fleet& fleet, const std::string& name, const std::string& timeout) {
+  const std::string file =
+      WriteText(fleet.Directory() / name / "bench.routing.toml", Routing("bench", name));
+  return RunCommand(fleet.Directory(), {"publish", "--log=" + LocalUrl(fleet.LogPort()),
+                                        "--publisher=" + name, "--timeout=" + timeout, file});
+}
+
+// The number of join records of each session and, under the node's name, of its sessions.
+std::map<std::string, std::set<std::string>> SessionsOfNodes(const Fleet& fleet) {
+  std::map<std::string, std::set<std::string>> sessions;
+  for (const auto& body : LogRecords(fleet, "SessionJoined")) {
+    sessions[body.at("node")].insert(body.at("session"));
+  }
+  return sessions;
+}
+
+void CheckInForce(Fleet& fleet, VersionWatch& watch, int version, const std::string& name) {
+  BOOST_TEST(WaitForVersion(watch, fleet, version, kInForce));
+  BOOST_TEST(WaitForService(fleet, "/bench/" + name + "-1", kInForce));
+  BOOST_TEST(watch.violations_ == Violations(), boost::test_tools::per_element());
+}
+
+// Publishes with a delayed effect, so that the publisher gives up before its record exists.
+void PublishLate(Fleet& fleet) {
+  BOOST_REQUIRE(fleet.SetLogFaults({{"delay_effect_ms", kDelayMs}}));
+  const CommandResult late = Publish(fleet, "late", "1");
+  BOOST_TEST(late.exit_code_ == 5, late.output_);
+  BOOST_REQUIRE(fleet.SetLogFaults({{"delay_effect_ms", 0}}));
+}
+
+bool WaitForPublications(const Fleet& fleet, std::size_t count) {
+  return WaitUntil([&] { return LogRecords(fleet, "ConfigurationPublished").size() == count; });
+}
+
+}  // namespace
+
+// A publisher that trusted the failed answer would report a failure for a version that is in force,
+// and one that appended again would publish twice.
+BOOST_AUTO_TEST_CASE(PublicationWithLostAnswerIsReadBack) {
+  const auto fleet = BuildFleet(true);
+  VersionWatch watch;
+  BOOST_TEST(Publish(*fleet, "first", "15").exit_code_ == 0);
+  CheckInForce(*fleet, watch, 1, "first");
+  // Nodes append too, so more than one answer is lost.
+  BOOST_REQUIRE(fleet->SetLogFaults({{"lose_answers", 1000}}));
+  const CommandResult second = Publish(*fleet, "second", "15");
+  BOOST_TEST(second.exit_code_ == 0, second.output_);
+  const CommandResult stale =
+      RunCommand(fleet->Directory(), {"publish", "--log=" + LocalUrl(fleet->LogPort()),
+                                      "--base-version=1", (fleet->Directory() / "first").string()});
+  BOOST_TEST(stale.exit_code_ == 4, stale.output_);
+  CheckInForce(*fleet, watch, 2, "second");
+  BOOST_TEST(LogRecords(*fleet, "ConfigurationPublished").size() == 2U);
+}
+
+// A node that took the lost answer for a failed join would join as a second session and leave the
+// units of the first without service until its lease lapsed.
+BOOST_AUTO_TEST_CASE(NodesWithLostAnswersJoinOnce) {
+  const auto fleet = BuildFleet(false);
+  BOOST_TEST(Publish(*fleet, "first", "15").exit_code_ == 0);
+  BOOST_REQUIRE(fleet->SetLogFaults({{"lose_answers", 1000}}));
+  for (std::size_t index = 0; index < fleet->Size(); ++index) {
+    BOOST_REQUIRE(fleet->StartNode(index));
+    BOOST_REQUIRE(fleet->StartUpstream(index));
+  }
+  BOOST_TEST(WaitForService(*fleet, "/bench/first-1"));
+  BOOST_TEST(WaitUntil([&] { return SessionsOfNodes(*fleet).size() == fleet->Size(); }));
+  // Longer than the first repeat of an append, so that a repeated join would be in the log.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto sessions = SessionsOfNodes(*fleet);
+  BOOST_TEST(sessions.size() == fleet->Size());
+  for (const auto& [node, ids] : sessions) {
+    BOOST_TEST(ids.size() == 1U, node);
+  }
+  BOOST_TEST(LogRecords(*fleet, "SessionJoined").size() == fleet->Size());
+  BOOST_TEST(LogRecords(*fleet, "SessionEnded").empty());
+}
+
+// A late record must be in force everywhere, although its publisher has reported "unknown".
+BOOST_AUTO_TEST_CASE(LatePublicationTakesEffectEverywhere) {
+  const auto fleet = BuildFleet(true);
+  VersionWatch watch;
+  BOOST_TEST(Publish(*fleet, "first", "15").exit_code_ == 0);
+  CheckInForce(*fleet, watch, 1, "first");
+  PublishLate(*fleet);
+  BOOST_REQUIRE(WaitForPublications(*fleet, 2));
+  CheckInForce(*fleet, watch, 2, "late");
+}
+
+// A late record that replaced a newer publication would revert an accepted configuration.
+BOOST_AUTO_TEST_CASE(LatePublicationDoesNotReplaceANewerOne) {
+  const auto fleet = BuildFleet(true);
+  VersionWatch watch;
+  BOOST_TEST(Publish(*fleet, "first", "15").exit_code_ == 0);
+  CheckInForce(*fleet, watch, 1, "first");
+  PublishLate(*fleet);
+  BOOST_TEST(Publish(*fleet, "between", "15").exit_code_ == 0);
+  const auto publications = LogRecords(*fleet, "ConfigurationPublished");
+  BOOST_REQUIRE_MESSAGE(
+      publications.size() == 2U && publications.back().at("publisher") == "between",
+      "the late record came before the other publication");
+  CheckInForce(*fleet, watch, 2, "between");
+  BOOST_REQUIRE(WaitForPublications(*fleet, 3));
+  const std::size_t after = LogRecords(*fleet).size();
+  BOOST_TEST(WaitUntil([&] {
+    for (std::size_t index = 0; index < fleet->Size(); ++index) {
+      const auto status = GetJson(fleet->Node(index).callers_port_, "/-/status");
+      if (!status.is_object() || status.value("next_offset", std::size_t{0}) < after) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  CheckInForce(*fleet, watch, 2, "between");
+}
