--- a/Tests/Integration/harness/fleet.cc
+++ b/Tests/Integration/harness/fleet.cc
@@ -97,6 +97,7 @@
     text += "control = " + advertised("control", node.control_port_);
   }
   text += "[log]\nurl = " + quoted(LocalUrl(Advertised("log", node, log_port_)));
+  text += "checkpoint_records = " + std::to_string(node.options_.checkpoint_records_) + "\n";
   text += "[peers]\nseeds = [" + seeds + "]\n";
   return text + node.options_.extra_settings_;
 }
--- a/Tests/Integration/harness/fleet.h
+++ b/Tests/Integration/harness/fleet.h
@@ -24,6 +24,7 @@
   int slots_ = 20;
   int service_ms_ = 2;
   int cold_ms_ = 0;
+  int checkpoint_records_ = 2000;
   std::string extra_settings_;  ///< TOML, appended to the settings file.
 };
 
