--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -8,7 +8,7 @@
 if (($# > 0)); then
   programs=("$@")
 else
-  programs=(request control takeover burst)
+  programs=(request fold control takeover burst)
 fi
 echo "commit $(git rev-parse --short HEAD), $(nproc) processors, $(date -u +%FT%RZ)"
 for program in "${programs[@]}"; do
--- a/Tests/Measurements/measure_request.cc
+++ b/Tests/Measurements/measure_request.cc
@@ -1,5 +1,10 @@
 // Cost of a request: latency added to a call of the upstream itself, processor time and memory.
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+
 #include <cstdio>
+#include <memory>
+#include <thread>
 
 #include "measurement.h"
 
@@ -113,6 +118,49 @@
   }
 }
 
+void PrintFit(const char* name, const std::vector<std::pair<double, double>>& points) {
+  const Fit fit = FitLine(points);
+  std::printf("fit %s = %.4f + %.4f (+- %.4f) KiB each\n", name, fit.intercept_, fit.slope_,
+              fit.slope_error_);
+}
+
+/// Memory of the request ids that the owner keeps, and of their copies at a grantor.
+void MeasureIds() {
+  const auto fleet = Build(64);
+  std::vector<std::pair<double, double>> points[2];
+  double ids = 0;
+  for (int load = 0; load < 5; ++load) {
+    ids += static_cast<double>(
+        Load(*fleet, Plan(fleet->Node(0).callers_port_, true, kBusyBindingRate, 2000)).size());
+    // The first load opens connections and fills caches.
+    for (std::size_t index = 0; load > 0 && index < 2; ++index) {
+      points[index].emplace_back(ids, ResidentMebibytes(fleet->Node(index).node_->Id()) * 1024);
+    }
+  }
+  PrintFit("resident memory, owner, by binding ids", points[0]);
+  PrintFit("resident memory, grantor, by binding ids", points[1]);
+}
+
+/// Opens idle connections of callers; closed when the vector is destroyed.
+void MeasureConnections() {
+  const auto fleet = Build(64);
+  std::vector<std::unique_ptr<ACE_SOCK_Stream, void (*)(ACE_SOCK_Stream*)>> open;
+  std::vector<std::pair<double, double>> points;
+  const ACE_INET_Addr address(fleet->Node(1).callers_port_, "127.0.0.1");
+  for (int count = 0; count <= 400; count += 100) {
+    while (open.size() < static_cast<std::size_t>(count)) {
+      open.emplace_back(new ACE_SOCK_Stream, [](ACE_SOCK_Stream* stream) {
+        stream->close();
+        delete stream;
+      });
+      Require(ACE_SOCK_Connector().connect(*open.back(), address) == 0, "connect");
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    points.emplace_back(count, ResidentMebibytes(fleet->Node(1).node_->Id()) * 1024);
+  }
+  PrintFit("resident memory by idle connections of callers", points);
+}
+
 template <typename Measure>
 void ForEachKind(harness::Fleet& fleet, Measure measure) {
   for (const bool binding : {false, true}) {
@@ -140,6 +188,8 @@
   }
   if (part.empty() || part == "memory") {
     MeasureMemory();
+    MeasureIds();
+    MeasureConnections();
   }
   return 0;
 }
--- a/Tests/Measurements/measurement.cc
+++ b/Tests/Measurements/measurement.cc
@@ -43,6 +43,11 @@
   return at == std::string::npos ? 0 : std::strtod(text.c_str() + at + label.size(), nullptr);
 }
 
+std::size_t CountSessions(Fleet& fleet) {
+  const nlohmann::json status = harness::GetJson(fleet.Node(0).callers_port_, "/-/status");
+  return status.contains("sessions") ? status["sessions"].size() : 0;
+}
+
 bool IsReady(Fleet& fleet, std::size_t index) {
   const nlohmann::json status = harness::GetJson(fleet.Node(index).callers_port_, "/-/status");
   return status.is_object() && status.value("configuration_version", 0) >= 1 &&
@@ -88,7 +93,9 @@
   }
   for (const auto& task : std::filesystem::directory_iterator(directory / "task")) {
     if (ReadText(task.path() / "comm") == std::string(thread) + "\n") {
-      return StatSeconds(task.path() / "stat");
+      // In nanoseconds; the ticks of stat are too coarse for a thread at rest.
+      constexpr double kNanosecond = 1e-9;
+      return std::strtod(ReadText(task.path() / "schedstat").c_str(), nullptr) * kNanosecond;
     }
   }
   Require(false, "no thread of this name");
@@ -151,6 +158,11 @@
                                   const std::map<std::string, std::string>& files) {
   auto fleet = builder.Build();
   Require(fleet.has_value(), "start fleet");
+  // Units are spread evenly only over sessions that joined before the publication; later ones get
+  // theirs by moves, within the churn budget.
+  Require(
+      harness::WaitUntil([&] { return CountSessions(*fleet.value()) == fleet.value()->Size(); }),
+      "sessions joined");
   Require(fleet.value()->Publish(files), "publish");
   for (std::size_t index = 0; index < fleet.value()->Size(); ++index) {
     Require(harness::WaitUntil([&] { return IsReady(*fleet.value(), index); }), "node ready");
@@ -158,19 +170,27 @@
   return std::move(fleet).value();
 }
 
-std::vector<AnswerRecord> RunLoad(Fleet& fleet, const nlohmann::json& plan) {
+std::vector<AnswerRecord> RunLoad(Fleet& fleet, const nlohmann::json& plan,
+                                  const std::function<void()>& meanwhile) {
   const std::filesystem::path file = fleet.Directory() / "plan.json";
   const std::filesystem::path output = fleet.Directory() / "answers";
   std::filesystem::remove(output);
+  std::filesystem::remove(fleet.Directory() / "load.log");
   std::ofstream(file) << plan.dump();
   const std::vector<std::string> arguments = {"--plan=" + file.string(),
                                               "--output=" + output.string()};
   const auto generator = harness::Process::Start(SASSAFRASBAY_STAND_INS "/load_generator",
                                                  arguments, fleet.Directory() / "load.log");
-  Require(generator && generator.value()->Wait(std::chrono::minutes(2)) == 0, "load generator");
+  Require(generator.has_value(), "start load generator");
+  meanwhile();
+  Require(generator.value()->Wait(std::chrono::minutes(2)) == 0, "load generator");
   return harness::ReadAnswers(output);
 }
 
+double UnavailableKeySeconds(const Fleet& fleet) {
+  return NumberAfter(ReadText(fleet.Directory() / "load.log"), "\"unavailable_key_seconds\":");
+}
+
 std::vector<double> Latencies(const std::vector<AnswerRecord>& answers) {
   std::vector<double> values;
   values.reserve(answers.size());
--- a/Tests/Measurements/measurement.h
+++ b/Tests/Measurements/measurement.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -48,7 +49,13 @@
                                            const std::map<std::string, std::string>& files);
 
 /// Runs the load generator to its end with a plan of load_plan.h and returns its answers.
-std::vector<harness::AnswerRecord> RunLoad(harness::Fleet& fleet, const nlohmann::json& plan);
+/// `meanwhile` runs after its start.
+std::vector<harness::AnswerRecord> RunLoad(
+    harness::Fleet& fleet, const nlohmann::json& plan,
+    const std::function<void()>& meanwhile = [] {});
+
+/// Of the latest RunLoad, as the load generator sums them up.
+double UnavailableKeySeconds(const harness::Fleet& fleet);
 
 std::vector<double> Latencies(const std::vector<harness::AnswerRecord>& answers);
 
