Services: Ignore grant confirmations that arrive out of order

Cause: confirmations of PUT /-/grants can overtake each other. An older one replaced the set of granted units, so a unit that was already announced as serving lost its grant until the next heartbeat, and a request that arrived meanwhile was held until its deadline, since a unit is announced only once. Change: calls are numbered, and only a confirmation newer than the last one counts. An upstream that starts anew begins with none.

--- a/Services/sassafrasbay/upstream_link.cc
+++ b/Services/sassafrasbay/upstream_link.cc
@@ -61,6 +61,8 @@
   announcement_ = announcement;
   failed_probes_ = 0;
   granted_.clear();
+  // What an earlier upstream confirms late is no grant of this one.
+  grants_confirmed_ = grants_sent_ + 1;
   const int connections =
       std::max(1, static_cast<int>(announcement.connections_) - kReservedConnections);
   calls_ = std::make_unique<HttpClient>(loop_, connections);
@@ -191,10 +193,17 @@
   call.base_url_ = BaseUrl();
   call.request_ = {"PUT", "/-/grants", {{"Content-Type", "application/json"}}, body.dump()};
   call.timeout_ = shared_.settings_.lease_;
-  probes_->Start(std::move(call), [this, units = units_](const HttpResult& result) {
+  const std::uint64_t number = ++grants_sent_;
+  probes_->Start(std::move(call), [this, number, units = units_](const HttpResult& result) {
     if (!result.response_.has_value() || result.response_.value().status_ != 200 || !IsUsable()) {
       return;
     }
+    // Confirmations can arrive out of order; an older one would take back the grants of units that
+    // were announced as serving, and requests for them would be held until their deadline.
+    if (number < grants_confirmed_) {
+      return;
+    }
+    grants_confirmed_ = number;
     const bool changed = granted_ != units;
     granted_ = units;
     if (changed) {
--- a/Services/sassafrasbay/upstream_link.h
+++ b/Services/sassafrasbay/upstream_link.h
@@ -76,6 +76,8 @@
   std::unique_ptr<HttpClient> probes_;  ///< Of its own, so that full slots don't delay a probe.
   std::map<UnitId, Offset> units_;
   std::map<UnitId, Offset> granted_;
+  std::uint64_t grants_sent_ = 0;
+  std::uint64_t grants_confirmed_ = 0;  ///< Number of the latest confirmed call.
   int failed_probes_ = 0;
   bool probe_running_ = false;
 };
