Services: Keep a drained upstream out until it is replaced

Cause: an upstream that an operator drained goes on announcing itself, and the next announcement, at most a second later, made the node join again. Change: the node remembers the drain until the upstream is lost, has another address, or withdraws its own drain. The node's own end of its session is no warning any more. The upstream stand-in announces "draining" after POST /-/drain on its admin port.

--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -48,6 +48,11 @@
 }
 
 void SessionKeeper::OnAnnouncement(const UpstreamAnnouncement& announcement) {
+  const bool new_upstream = announcement_ && announcement_->address_ != announcement.address_;
+  const bool drain_withdrawn = announcement_ && announcement_->draining_ && !announcement.draining_;
+  if (new_upstream || drain_withdrawn) {
+    upstream_drained_ = false;
+  }
   announcement_ = announcement;
   if (announcement.draining_) {
     if (lifecycle_.state_ == "serving") {
@@ -56,7 +61,7 @@
     return;
   }
   const bool may_join = lifecycle_.state_ == "starting" || lifecycle_.state_ == "rejoining";
-  if (may_join && follower_.IsCaughtUp()) {
+  if (may_join && !upstream_drained_ && follower_.IsCaughtUp()) {
     Join();
   }
 }
@@ -106,6 +111,9 @@
   if (!announcement_) {
     // The upstream was lost while the record was on its way.
     OnUpstreamWithdrawn();
+  } else if (upstream_drained_) {
+    // The drain was requested while the record was on its way.
+    RequestDrain(false);
   }
 }
 
@@ -224,7 +232,11 @@
 }
 
 void SessionKeeper::OnOwnEnd() {
-  LogWarning(kPart, "Session " + active_ + " has ended.");
+  if (end_written_) {
+    LogInfo(kPart, "Session " + active_ + " has ended, as this node asked for.");
+  } else {
+    LogWarning(kPart, "Session " + active_ + " has ended.");
+  }
   SetLeaseEnd(*cell_, BootTime{});
   active_.clear();
   cell_.reset();
@@ -236,6 +248,7 @@
 
 void SessionKeeper::OnUpstreamWithdrawn() {
   announcement_.reset();
+  upstream_drained_ = false;
   if (lifecycle_.state_ == "serving" || lifecycle_.state_ == "yielding") {
     Advance("upstream_lost");
   }
@@ -245,6 +258,9 @@
 void SessionKeeper::RequestDrain(bool exit) {
   const bool already_exiting = drain_exits_;
   drain_exits_ = drain_exits_ || exit;
+  // A drained upstream goes on announcing itself, so that its next announcement is no reason to
+  // join.
+  upstream_drained_ = upstream_drained_ || (!exit && announcement_.has_value());
   if (!already_exiting && (exit || lifecycle_.state_ == "serving")) {
     Advance(exit ? "drain_requested" : "upstream_draining");
   }
--- a/Services/sassafrasbay/session_keeper.h
+++ b/Services/sassafrasbay/session_keeper.h
@@ -83,6 +83,8 @@
   BootTime last_tick_{};
   bool end_written_ = false;
   bool drain_exits_ = false;
+  bool upstream_drained_ =
+      false;  ///< By an operator or by itself; it keeps this node from joining.
   BootTime drain_started_{};
   bool stop_owning_sent_ = false;
 };
--- a/Tests/StandIns/upstream_stand_in.cc
+++ b/Tests/StandIns/upstream_stand_in.cc
@@ -146,6 +146,10 @@
 BlockingAnswer HandleAdmin(UpstreamState& state, const HttpRequest& request) {
   const std::lock_guard lock(state.mutex_);
   const std::string_view path = WithoutQuery(request.path_);
+  if (path == "/-/drain" && request.method_ == "POST") {
+    state.draining_ = true;
+    return JsonAnswer(200, "{}");
+  }
   const auto dump = [](const json& list) {
     return JsonAnswer(200, list.dump(-1, ' ', false, json::error_handler_t::replace));
   };
@@ -158,16 +162,18 @@
   return JsonAnswer(404, "{}");
 }
 
-void AnnounceForever(const UpstreamOptions& options) {
+void AnnounceForever(const UpstreamState& state) {
+  const UpstreamOptions& options = state.options_;
   const int port = options.advertised_port_ == 0 ? options.port_ : options.advertised_port_;
-  const json body = {{"service", options.service_},
-                     {"address", "127.0.0.1:" + std::to_string(port)},
-                     {"checks_grants", options.checks_grants_},
-                     {"slots", options.slots_},
-                     {"connections", kConnections}};
-  const HttpRequest request{
-      "POST", "/-/announce", {{"Content-Type", "application/json"}}, body.dump()};
+  json body = {{"service", options.service_},
+               {"address", "127.0.0.1:" + std::to_string(port)},
+               {"checks_grants", options.checks_grants_},
+               {"slots", options.slots_},
+               {"connections", kConnections}};
   while (true) {
+    body["draining"] = state.draining_.load();
+    const HttpRequest request{
+        "POST", "/-/announce", {{"Content-Type", "application/json"}}, body.dump()};
     // The node may start later or be gone; the next announcement tries again.
     (void)CallBlocking("http://" + options.node_, request, milliseconds(900));
     std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -226,7 +232,7 @@
     return 1;
   }
   if (!options.node_.empty()) {
-    AnnounceForever(options);
+    AnnounceForever(state);
   }
   while (true) {
     pause();
--- a/Tests/StandIns/upstream_state.h
+++ b/Tests/StandIns/upstream_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -38,6 +39,7 @@
   UpstreamOptions options_;
   int record_descriptor_ = -1;
   std::int64_t started_ms_ = 0;
+  std::atomic<bool> draining_ = false;  ///< Announced to the node.
 
   std::mutex mutex_;
   std::map<std::uint32_t, Grant> grants_;
