Tests: Offer an outdated checkpoint to a cut-off node

Guards the version comparison of LogFollower::Scan, which TruncationRevertsNothing doesn't reach: a checkpoint that claims a newer position than its state has. The node skips it and continues from the next one.

--- a/Tests/Integration/test_configuration_retention.cc
+++ b/Tests/Integration/test_configuration_retention.cc
@@ -73,6 +73,26 @@
   return 0;
 }
 
+// Appends a checkpoint with the state of the first one, stated for the records up to its own
+// offset.
+void AppendOutdatedCheckpoint(const Fleet& fleet) {
+  const std::vector<json> records = LogRecords(fleet);
+  const auto first = std::ranges::find_if(records, [](const json& record) {
+    return record.is_object() && record.value("type", "") == "Checkpoint";
+  });
+  BOOST_REQUIRE(first != records.end());
+  json record = *first;
+  json& body = record.at("body");
+  json state = json::from_cbor(body.at("state").get_binary());
+  state["next_offset"] = records.size();
+  body["through_offset"] = records.size() - 1;
+  body["state"] = json::binary(json::to_cbor(state));
+  record["id"] = std::string(32, 'f');
+  const std::vector<std::uint8_t> bytes = json::to_cbor(record);
+  BOOST_REQUIRE(CallStatus(fleet.LogPort(), "POST", "/append",
+                           std::string(bytes.begin(), bytes.end())) == 200);
+}
+
 bool WaitForSameState(VersionWatch& watch, Fleet& fleet, std::size_t index, int version) {
   return WaitUntil(
       [&] {
@@ -165,3 +185,28 @@
   BOOST_TEST(WaitForService(*fleet, "/bench/v50-1", kLimit));
   BOOST_TEST(watch.violations_ == Violations(), boost::test_tools::per_element());
 }
+
+// A checkpoint whose state is older than it claims must not revert the configuration of a node that
+// has seen a newer version.
+BOOST_AUTO_TEST_CASE(OutdatedCheckpointRevertsNothing) {
+  const auto fleet = BuildFleet();
+  VersionWatch watch;
+  int version = 0;
+  for (std::size_t index = 0; index < kNew; ++index) {
+    Start(*fleet, index);
+  }
+  PublishUntil(*fleet, watch, version, 20);
+  BOOST_REQUIRE(WaitUntil([&] { return !CheckpointsFrom(*fleet, 0).empty(); }, kLimit));
+  PublishUntil(*fleet, watch, version, 25);
+  BOOST_REQUIRE(WaitUntil([&] { return VersionAt(*fleet, kCutOff) == version; }, kLimit));
+  BOOST_REQUIRE(fleet->SetLogPartition(kCutOff, true));
+  PublishUntil(*fleet, watch, version, 30);
+  const std::size_t outdated = LogRecords(*fleet).size();
+  AppendOutdatedCheckpoint(*fleet);
+  PublishUntil(*fleet, watch, version, 50);
+  BOOST_REQUIRE(WaitUntil([&] { return !CheckpointsFrom(*fleet, outdated + 5).empty(); }, kLimit));
+  BOOST_REQUIRE(fleet->SetLogFaults({{"truncate_before", outdated}}));
+  BOOST_REQUIRE(fleet->SetLogPartition(kCutOff, false));
+  BOOST_TEST(WaitForSameState(watch, *fleet, kCutOff, version));
+  BOOST_TEST(watch.violations_ == Violations(), boost::test_tools::per_element());
+}
