--- a/Tests/Integration/configuration_support.h
+++ b/Tests/Integration/configuration_support.h
@@ -57,7 +57,7 @@
 /// Samples until all nodes show the version.
 bool WaitForVersion(VersionWatch& watch, Fleet& fleet, std::int64_t version, milliseconds limit);
 
-/// Waits until the given nodes serve GET PATH with status 200.
+/// Waits until all nodes serve GET PATH with status 200.
 bool WaitForService(Fleet& fleet, std::string_view path,
                     milliseconds limit = std::chrono::seconds(30));
 
--- a/Tests/Integration/test_configuration_retention.cc
+++ b/Tests/Integration/test_configuration_retention.cc
@@ -46,7 +46,7 @@
   return GetJson(fleet.Node(index).callers_port_, "/-/status");
 }
 
-// Bytes and state position of the checkpoints that start at or after an offset.
+// Positions (through_offset) of the checkpoints that hold the records up to an offset or further.
 std::vector<std::uint64_t> CheckpointsFrom(const Fleet& fleet, std::uint64_t through) {
   std::vector<std::uint64_t> found;
   for (const json& body : LogRecords(fleet, "Checkpoint")) {
--- a/Tests/Integration/test_log_faults.cc
+++ b/Tests/Integration/test_log_faults.cc
@@ -36,7 +36,7 @@
                                         "--publisher=" + name, "--timeout=" + timeout, file});
 }
 
-// The number of join records of each session and, under the node's name, of its sessions.
+// The sessions that joined, by the name of their node.
 std::map<std::string, std::set<std::string>> SessionsOfNodes(const Fleet& fleet) {
   std::map<std::string, std::set<std::string>> sessions;
   for (const auto& body : LogRecords(fleet, "SessionJoined")) {
