--- a/Tests/StandIns/load_report.cc
+++ b/Tests/StandIns/load_report.cc
@@ -41,6 +41,16 @@
   return list;
 }
 
+/// Sum over the keys of the longest gap, without gaps that are ordinary latency.
+double UnavailableKeySeconds(const LoadReport& report) {
+  constexpr milliseconds kOrdinary{500};
+  milliseconds sum{0};
+  for (const auto& [key, gap] : report.keys_) {
+    sum += gap.longest_ >= kOrdinary ? gap.longest_ : milliseconds(0);
+  }
+  return std::chrono::duration<double>(sum).count();
+}
+
 }  // namespace
 
 void CountSent(LoadReport& report, const std::string& load_class, const std::string& key,
@@ -97,6 +107,7 @@
                                 {"p99_ms", Percentile(load_class.latencies_ms_, 0.99)}};
   }
   summary["longest_gaps"] = LongestGaps(report, now);
+  summary["unavailable_key_seconds"] = UnavailableKeySeconds(report);
   return summary.dump(2);
 }
 
