Services: Count keys of the load meter in a vector

Cause: a request for a key outside the table of 256 scans all of them for the lightest; as a tree that is a walk over scattered nodes. Change: an unsorted vector, scanned in one piece.

--- a/Services/sassafrasbay/load_meter.cc
+++ b/Services/sassafrasbay/load_meter.cc
@@ -1,6 +1,7 @@
 #include "load_meter.h"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace sassafrasbay {
 namespace {
@@ -11,9 +12,9 @@
 
 constexpr double kNegligibleRate = 0.01;
 
-template <typename Key>
-std::vector<std::pair<Key, double>> Heaviest(const std::map<Key, double>& rates,
-                                             std::size_t count) {
+template <typename Rates>
+auto Heaviest(const Rates& rates, std::size_t count) {
+  using Key = std::remove_const_t<typename Rates::value_type::first_type>;
   std::vector<std::pair<Key, double>> sorted(rates.begin(), rates.end());
   const std::size_t kept = std::min(count, sorted.size());
   std::partial_sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(kept),
@@ -27,21 +28,20 @@
 
 void CountRequest(LoadMeter& meter, const UnitId& unit, std::uint64_t key_hash) {
   meter.units_[unit] += 1;
-  const auto found = meter.keys_.find(key_hash);
+  const auto found = std::find_if(meter.keys_.begin(), meter.keys_.end(),
+                                  [key_hash](const auto& item) { return item.first == key_hash; });
   if (found != meter.keys_.end()) {
     found->second += 1;
     return;
   }
   if (meter.keys_.size() < kCountedKeys) {
-    meter.keys_[key_hash] = 1;
+    meter.keys_.emplace_back(key_hash, 1);
     return;
   }
   const auto lightest =
       std::min_element(meter.keys_.begin(), meter.keys_.end(),
                        [](const auto& l, const auto& r) { return l.second < r.second; });
-  const double inherited = lightest->second;
-  meter.keys_.erase(lightest);
-  meter.keys_[key_hash] = inherited + 1;
+  *lightest = {key_hash, lightest->second + 1};
 }
 
 void EndInterval(LoadMeter& meter, double seconds) {
--- a/Services/sassafrasbay/load_meter.h
+++ b/Services/sassafrasbay/load_meter.h
@@ -12,7 +12,8 @@
 /// Decayed request rates of units and of the busiest keys.
 struct LoadMeter {
   std::map<UnitId, double> units_;
-  std::map<std::uint64_t, double> keys_;
+  /// Unsorted, at most a few hundred. A vector, since each request for a new key scans all of them.
+  std::vector<std::pair<std::uint64_t, double>> keys_;
 };
 
 void CountRequest(LoadMeter& meter, const UnitId& unit, std::uint64_t key_hash);
