Tests: Check the loss of a data centre

Both nodes and upstreams of one of three data centres are killed at once under load; all keys must be served again within 2 s. The negative control is that of the other losses.

--- a/Tests/Integration/test_owner_loss.cc
+++ b/Tests/Integration/test_owner_loss.cc
@@ -37,3 +37,16 @@
 
 // The upstream goes on running with grants that nobody extends.
 BOOST_AUTO_TEST_CASE(NodeKilled) { CheckLoss(Lost::kNode); }
+
+// Guards against a takeover that serves only what was lost: a data centre takes a third of the
+// fleet at once, and the fault detection of its nodes with it.
+BOOST_AUTO_TEST_CASE(DataCentreKilled) {
+  Trial trial = StartTrial({});
+  const std::int64_t lost_ms = NowMs();
+  for (std::size_t node = 0; node < trial.fleet_->Size(); node += 3) {
+    trial.fleet_->Node(node).node_->Kill();
+    trial.fleet_->Node(node).upstream_->Kill();
+  }
+  const auto answers = FinishTrial(trial, kRest);
+  CheckServed(answers, KeysNotOf(trial, {}), lost_ms, kServedAgainMs);
+}
