Services: Repeat pending appends soon after a log outage

Cause: the delay between repeats of an append grows to 5 s during an outage, and a takeover needs the attestations of both grantors, so the keys of an owner lost in the outage could wait for seconds after the log had returned. Change: when the follower has read to the end of the log again, the writer restarts its delays, with the same jitter, for records that were not seen.

--- a/Services/sassafrasbay/control_loop.cc
+++ b/Services/sassafrasbay/control_loop.cc
@@ -38,7 +38,8 @@
                       [this] {
                         session_.OnStateChanged();
                         PublishSnapshot();
-                      }});
+                      },
+                      [this] { writer_.OnLogReturned(); }});
   session_.SetHooks({[this] { PublishSnapshot(); }, [this] { traffic_.stop_owning_(); },
                      [this, drained = std::move(drained)] { traffic_.finish_(drained); }});
   follower_.Start();
--- a/Services/sassafrasbay/log_follower.cc
+++ b/Services/sassafrasbay/log_follower.cc
@@ -46,6 +46,9 @@
     changed = changed || !scanning_;
   }
   caught_up_ = !scanning_ && batch.records_.size() < kRecordsPerRead;
+  if (caught_up_ && !was_caught_up) {
+    hooks_.on_caught_up_();
+  }
   if ((changed || caught_up_ != was_caught_up) && !scanning_) {
     hooks_.on_changed_();
   }
--- a/Services/sassafrasbay/log_follower.h
+++ b/Services/sassafrasbay/log_follower.h
@@ -24,6 +24,8 @@
     std::function<void(Offset, const Record&, const Verdict&)> on_applied_;
     /// After each batch that changed the state, and after a checkpoint or snapshot was loaded.
     std::function<void()> on_changed_;
+    /// After the start, an error or a gap.
+    std::function<void()> on_caught_up_ = [] {};
   };
 
   LogFollower(ReactorLoop& loop, SharedState& shared, LogClient& log);
--- a/Services/sassafrasbay/log_writer.cc
+++ b/Services/sassafrasbay/log_writer.cc
@@ -70,16 +70,32 @@
 }
 
 void LogWriter::ScheduleRepeat(const std::string& id) {
-  const int doublings = std::min(pending_.at(id).attempts_ - 1, 4);
+  Pending& pending = pending_.at(id);
+  const int doublings = std::clamp(pending.attempts_ - 1, 0, 4);
   const milliseconds delay = std::min(kFirstRepeat * (1 << doublings), kLongestRepeat);
-  loop_.StartTimer(WithJitter(delay), [this, id] {
+  pending.repeat_timer_ = loop_.StartTimer(WithJitter(delay), [this, id] {
     const auto found = pending_.find(id);
-    if (found != pending_.end() && found->second.repeat_ == Repeat::kUntilSeen) {
+    if (found == pending_.end()) {
+      return;
+    }
+    found->second.repeat_timer_ = 0;
+    if (found->second.repeat_ == Repeat::kUntilSeen) {
       Send(id);
     }
   });
 }
 
+// The delay between repeats has grown during the outage, and a takeover waits for its attestations.
+void LogWriter::OnLogReturned() {
+  for (auto& [id, pending] : pending_) {
+    pending.attempts_ = 0;
+    if (pending.repeat_timer_ != 0) {
+      loop_.CancelTimer(pending.repeat_timer_);
+      ScheduleRepeat(id);
+    }
+  }
+}
+
 void LogWriter::OnApplied(Offset offset, const Record& record, const Verdict& verdict) {
   const auto found = pending_.find(record.id_);
   if (found == pending_.end()) {
--- a/Services/sassafrasbay/log_writer.h
+++ b/Services/sassafrasbay/log_writer.h
@@ -33,6 +33,9 @@
   /// Stops repeating a record; its callback is dropped.
   void Abandon(const std::string& id);
 
+  /// The log can be read to its end again: repeats soon what was not seen there.
+  void OnLogReturned();
+
   void OnApplied(Offset offset, const Record& record, const Verdict& verdict);
 
  private:
@@ -42,6 +45,7 @@
     Callback callback_;
     BootTime sent_at_{};
     int attempts_ = 0;
+    ReactorLoop::TimerId repeat_timer_ = 0;  ///< 0 while an append is open.
   };
 
   void Send(const std::string& id);
