--- a/Services/sassafrasbay/log_follower.cc
+++ b/Services/sassafrasbay/log_follower.cc
@@ -55,6 +55,9 @@
   }
   caught_up_ = !scanning_ && batch.records_.size() < kRecordsPerRead;
   counts_moves_ = counts_moves_ || caught_up_;
+  if (caught_up_ && !was_caught_up) {
+    hooks_.on_caught_up_();
+  }
   if ((changed || caught_up_ != was_caught_up) && !scanning_) {
     hooks_.on_changed_();
   }
