LibControl: Forget earlier holders of a unit in a move

A holder that has released a unit no longer copies the ids it ran, so recovery must not look past it at an earlier holder's table and take that for complete: an id that ran in between would count as new. The list of earlier holders now ends at a move. Guarded by MovesHideEarlierHolders; TestControlState passes.

--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -71,7 +71,7 @@
   SessionId inherited_from_;
   Offset inherited_token_ = 0;  ///< Token under which inherited_from_ held the unit.
   /// From whom inherited_from_ had inherited, latest first. When it ended before it had recovered
-  /// the request table, the copies are with the grantors of these.
+  /// the request table, the copies are with the grantors of these. Empty from a move on.
   std::vector<Inheritance> earlier_holders_;
 };
 
--- a/Libraries/LibControl/unit_assignment.cc
+++ b/Libraries/LibControl/unit_assignment.cc
@@ -14,7 +14,11 @@
 }
 
 void Inherit(Unit& unit, const SessionId& ended, Offset token) {
-  if (!unit.inherited_from_.empty()) {
+  if (unit.move_) {
+    // A holder that has released the unit no longer copies what it ran, so nobody may look past it
+    // at the holder before.
+    unit.earlier_holders_.clear();
+  } else if (!unit.inherited_from_.empty()) {
     std::vector<Inheritance>& earlier = unit.earlier_holders_;
     earlier.insert(earlier.begin(), {unit.inherited_from_, unit.inherited_token_});
     earlier.resize(std::min(earlier.size(), kMaxEarlierHolders));
--- a/Tests/LibControl/test_units.cc
+++ b/Tests/LibControl/test_units.cc
@@ -76,6 +76,21 @@
   BOOST_TEST(UnitAt(log.state_, 0).earlier_holders_.size() == kMaxEarlierHolders);
 }
 
+// Guards against taking an earlier holder's table for complete after a holder in between has
+// released the unit together with the ids it ran.
+BOOST_AUTO_TEST_CASE(MovesHideEarlierHolders) {
+  TestLog log = Fleet();
+  log.Append(SessionEnded{"a1"});
+  log.Append(MovesStarted{{MoveOf(log, 0, "b1")}, "t"});
+  TestLog owner_ends = log;
+  log.Append(SessionEnded{"b1"});
+  BOOST_TEST(UnitAt(log.state_, 0).inherited_from_ == "b1");
+  BOOST_TEST(UnitAt(log.state_, 0).earlier_holders_.empty());
+  owner_ends.Append(SessionEnded{"c1"});
+  BOOST_TEST(UnitAt(owner_ends.state_, 0).inherited_from_ == "c1");
+  BOOST_TEST(UnitAt(owner_ends.state_, 0).earlier_holders_.empty());
+}
+
 // Guards against a move that takes effect although owner, token or target have changed.
 BOOST_AUTO_TEST_CASE(MovesAreCheckedOneByOne) {
   TestLog log = Fleet();
