Services: Refuse a forwarded key that belongs to another unit now

An ingress that hadn't read of a key's split yet forwarded a request under the shard, and the owner entered its id into the shard's table. The same id, sent through a newer ingress, was looked up in the split key's table and ran again. The owner now derives the unit from the key again and sends the request back when it differs.

--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -91,6 +91,15 @@
     Refuse(number, 400, ToString(classified.error()));
     return;
   }
+  // An ingress that hasn't read of a split or merged key yet names the unit of before. Its id would
+  // enter that unit's table, where a repeated request of a newer ingress doesn't look.
+  const auto service = snapshot_->state_->services_.find(active.forward_.unit_.service_);
+  if (service == snapshot_->state_->services_.end() ||
+      UnitOfKey(service->second, service->first, active.forward_.key_hash_) !=
+          active.forward_.unit_) {
+    Refuse(number, kMisdirectedStatus, "the key belongs to another unit now");
+    return;
+  }
   active.kind_ = classified.value().class_->kind_;
   active.worth_ = classified.value().class_->worth_;
   active.fingerprint_ = classified.value().fingerprint_;
@@ -251,7 +260,7 @@
     CountSuccess(retries_);
     Exonerate(suspects_, active.fingerprint_);
   }
-  Complete(number, std::move(answer));
+  Complete(number, answer);
 }
 
 void Owner::OnLostAnswer(std::uint64_t number, const Error& error, bool maybe_sent) {
@@ -348,7 +357,7 @@
                            static_cast<double>(taken.count()));
 }
 
-void Owner::Complete(std::uint64_t number, RoutedAnswer answer) {
+void Owner::Complete(std::uint64_t number, const RoutedAnswer& answer) {
   Active& active = active_.at(number);
   if (!active.in_table_) {
     Deliver(number, answer);
--- a/Services/sassafrasbay/owner.h
+++ b/Services/sassafrasbay/owner.h
@@ -99,7 +99,7 @@
   void CheckCrash(std::uint64_t number, const Error& error);
   void RecordSuspects(std::span<const std::pair<std::uint64_t, Error>> candidates);
   void EndCall(Active& active, ServiceResult result, bool answered);
-  void Complete(std::uint64_t number, RoutedAnswer answer);
+  void Complete(std::uint64_t number, const RoutedAnswer& answer);
   void Record(std::uint64_t number, const RoutedAnswer& answer);
   void Replay(std::uint64_t number, const RoutedAnswer& answer);
   void CopyOutcome(std::uint64_t number, const RoutedAnswer& answer);
