--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -94,6 +94,15 @@
     Refuse(number, 400, ToString(classified.error()));
     return;
   }
+  // An ingress that hasn't read of a split or merged key yet names the unit of before. Its id would
+  // enter that unit's table, where a repeated request of a newer ingress doesn't look.
+  const auto service = snapshot_->state_->services_.find(active.forward_.unit_.service_);
+  if (service == snapshot_->state_->services_.end() ||
+      UnitOfKey(service->second, service->first, active.forward_.key_hash_) !=
+          active.forward_.unit_) {
+    Refuse(number, kMisdirectedStatus, "the key belongs to another unit now");
+    return;
+  }
   active.kind_ = classified.value().class_->kind_;
   active.worth_ = classified.value().class_->worth_;
   active.fingerprint_ = classified.value().fingerprint_;
