Services: Log waits and refusals of a request at the owner

The owner logged only the hand-over, so a request that was held, refused or answered from the request table could not be followed at its second node. The lines carry the request id and the unit; they are info, as they tell what happens to one request.

--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -15,6 +15,11 @@
 constexpr std::size_t kReportedUnits = 16;
 constexpr std::size_t kReportedKeys = 8;
 
+void LogRequest(const Forward& forward, std::string_view what) {
+  LogInfo(kPart, "Request " + forward.request_id_ + " of unit " + forward.unit_.service_ + "/" +
+                     std::to_string(forward.unit_.unit_) + " " + std::string(what) + ".");
+}
+
 }  // namespace
 
 RoutedAnswer NotRun(int status, std::string_view reason) {
@@ -75,6 +80,7 @@
       Refuse(number, kMisdirectedStatus, "this node does not own the unit");
       return number;
     case OwnedUnits::Availability::kStarting:
+      LogRequest(active.forward_, "waits: the unit starts here");
       return number;
     case OwnedUnits::Availability::kServing:
       Start(number);
@@ -118,11 +124,13 @@
       active.in_table_ = true;
       return true;
     case TableDecision::kWait:
+      LogRequest(active.forward_, "waits: its id is running");
       waiters_[{unit, id}].push_back(
           [this, number](const RoutedAnswer& answer) { Deliver(number, answer); });
       active.stage_ = Stage::kRecording;
       return false;
     case TableDecision::kReplay:
+      LogRequest(active.forward_, "gets the recorded outcome of its id");
       Replay(number, verdict.answer_);
       return false;
     case TableDecision::kMismatch:
@@ -133,6 +141,7 @@
       Refuse(number, 400, verdict.reason_);
       return false;
     case TableDecision::kUnknown:
+      LogRequest(active.forward_, "ends as unknown: " + verdict.reason_);
       Deliver(number, Unknown(verdict.reason_));
       return false;
   }
@@ -447,6 +456,7 @@
   if (found == active_.end()) {
     return;
   }
+  LogRequest(found->second.forward_, "is refused: " + std::string(reason));
   // After a hand-over without an answer the request may have run, whatever refuses it now.
   if (found->second.unanswered_until_ != BootTime{}) {
     Complete(number, Unknown(reason));
