Services: Show the three measures and the way of a request

The routing line names token and reason, placement lines name nodes besides sessions, and answers carry the request id, so that one request can be searched for in the logs of both nodes. Time during which requests waited because a unit had no serving owner is counted for each unit and service.

--- a/Services/sassafrasbay/ingress.cc
+++ b/Services/sassafrasbay/ingress.cc
@@ -2,6 +2,7 @@
 
 #include <strings.h>
 
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -48,7 +49,8 @@
       owner_(owner),
       peers_(peers),
       node_prefix_(RandomId().substr(0, 12)),
-      random_(std::random_device{}()) {
+      random_(std::random_device{}()),
+      last_sweep_(BootClock::now()) {
   loop_.StartRepeatingTimer(kSweepInterval, [this] { Sweep(); });
 }
 
@@ -122,16 +124,20 @@
   }
   pending.forward_.remaining_ms_ =
       static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(pending.deadline_ - now).count());
-  SendTo(number, *owner);
+  const bool moves = owner->join_.session_ != unit->owner_;
+  SendTo(number, *owner, moves ? unit->move_->token_ : unit->token_,
+         moves ? "the unit moves to it" : "it owns the unit");
 }
 
-void Ingress::SendTo(std::uint64_t number, const Session& owner) {
+void Ingress::SendTo(std::uint64_t number, const Session& owner, Offset token,
+                     std::string_view reason) {
   Pending& pending = pending_.at(number);
   pending.sent_to_ = owner.join_.session_;
   LogInfo(kPart, "Request " + pending.forward_.request_id_ + " of class " +
                      pending.forward_.class_ + " goes to " + owner.join_.node_ + ": unit " +
                      pending.forward_.unit_.service_ + "/" +
-                     std::to_string(pending.forward_.unit_.unit_) + ".");
+                     std::to_string(pending.forward_.unit_.unit_) + ", token " +
+                     std::to_string(token) + ", " + std::string(reason) + ".");
   if (owner.join_.session_ == snapshot_->own_session_) {
     Advance(pending, "local");
     const std::uint64_t handled =
@@ -202,6 +208,7 @@
             "Request " + pending.forward_.request_id_ + " waits: " + std::string(reason) + ".");
   }
   pending.waiting_ = true;
+  pending.has_waited_ = true;
   shared_.metrics_.Count("sassafrasbay_reroutes_total");
   loop_.StartTimer(kRerouteDelay, [this, number] {
     const auto found = pending_.find(number);
@@ -225,6 +232,7 @@
     LogInfo(kPart, "Request " + pending.forward_.request_id_ + " ends as " +
                        std::string(ToString(answer.outcome_)) + ": " + answer.reason_ + ".");
   }
+  answer.response_.headers_.emplace_back("Sassafrasbay-Request-Id", pending.forward_.request_id_);
   RespondWith(*pending.exchange_, std::move(answer));
 }
 
@@ -250,6 +258,7 @@
 
 void Ingress::Sweep() {
   const BootTime now = BootClock::now();
+  CountUnavailable(now);
   std::vector<std::uint64_t> overdue;
   for (const auto& [number, pending] : pending_) {
     const bool open = pending.peer_number_ != 0 || pending.owner_number_ != 0;
@@ -273,6 +282,21 @@
   }
 }
 
+void Ingress::CountUnavailable(BootTime now) {
+  const auto elapsed = std::chrono::floor<milliseconds>(now - last_sweep_);
+  last_sweep_ += elapsed;
+  std::set<UnitId> unavailable;
+  for (const auto& [number, pending] : pending_) {
+    if (pending.has_waited_) {
+      unavailable.insert(pending.forward_.unit_);
+    }
+  }
+  for (const UnitId& unit : unavailable) {
+    shared_.metrics_.Count(kUnavailableMetric, "service=\"" + unit.service_ + "\"",
+                           static_cast<std::uint64_t>(elapsed.count()));
+  }
+}
+
 void Ingress::Advance(Pending& pending, std::string_view event) {
   if (auto fired = Fire(pending.position_, event); !fired) {
     LogError(kPart, pending.forward_.request_id_ + ": " + ToString(fired.error()));
--- a/Services/sassafrasbay/ingress.h
+++ b/Services/sassafrasbay/ingress.h
@@ -43,17 +43,20 @@
     SessionId sent_to_;
     /// An attempt ended without a definite answer, so the request may have run.
     bool maybe_ran_ = false;
-    bool waiting_ = false;  ///< Waits for a snapshot or the next attempt.
+    bool waiting_ = false;     ///< Waits for a snapshot or the next attempt.
+    bool has_waited_ = false;  ///< Has waited at least once.
   };
 
   void Route(std::uint64_t number);
-  void SendTo(std::uint64_t number, const Session& owner);
+  void SendTo(std::uint64_t number, const Session& owner, Offset token, std::string_view reason);
   void OnAnswer(std::uint64_t number, RoutedAnswer answer);
   void OnPeerReply(std::uint64_t number, Result<TrafficMessage> reply);
   void WaitAndRoute(std::uint64_t number, std::string_view reason);
   void Respond(std::uint64_t number, RoutedAnswer answer);
   void Abandon(std::uint64_t number);
   void Sweep();
+  /// Adds the time since the last call for each unit that a request has to wait for.
+  void CountUnavailable(BootTime now);
   void Advance(Pending& pending, std::string_view event);
 
   ReactorLoop& loop_;
@@ -66,6 +69,7 @@
   std::uint64_t next_number_ = 1;
   std::string node_prefix_;  ///< Makes request ids unique among nodes and restarts.
   std::mt19937_64 random_;
+  BootTime last_sweep_;
 };
 
 /// Gives the caller an answer with the header Sassafrasbay-Outcome.
--- a/Services/sassafrasbay/log_follower.cc
+++ b/Services/sassafrasbay/log_follower.cc
@@ -21,6 +21,46 @@
   return !only_starts && !decision.from_.empty() && decision.from_ != decision.to_;
 }
 
+struct KnownSession {
+  SessionId id_;
+  std::string node_;
+};
+
+/// The session that the record may end; its node isn't known after that.
+KnownSession EndingSession(const ControlState& state, const Record& record) {
+  KnownSession known;
+  if (const auto* lapse = std::get_if<LapseAttested>(&record.body_)) {
+    known.id_ = lapse->session_;
+  } else if (const auto* end = std::get_if<SessionEnded>(&record.body_)) {
+    known.id_ = end->session_;
+  }
+  const Session* session = FindSession(state, known.id_);
+  known.node_ = session != nullptr ? session->join_.node_ : "an unknown node";
+  return known;
+}
+
+std::string DescribeSession(const ControlState& state, const KnownSession& ended,
+                            const SessionId& id) {
+  if (id.empty()) {
+    return "nobody";
+  }
+  const Session* session = FindSession(state, id);
+  std::string node = id == ended.id_ ? ended.node_ : "an unknown node";
+  if (session != nullptr) {
+    node = session->join_.node_;
+  }
+  return node + " (session " + id + ")";
+}
+
+void LogDecision(const ControlState& state, const KnownSession& ended,
+                 const PlacementDecision& decision) {
+  LogInfo("placement", "Unit " + decision.unit_.service_ + "/" +
+                           std::to_string(decision.unit_.unit_) + " goes from " +
+                           DescribeSession(state, ended, decision.from_) + " to " +
+                           DescribeSession(state, ended, decision.to_) + " under token " +
+                           std::to_string(decision.token_) + ": " + decision.reason_ + ".");
+}
+
 }  // namespace
 
 LogFollower::LogFollower(ReactorLoop& loop, SharedState& shared, LogClient& log)
@@ -89,20 +129,16 @@
     SkipRecord(state_, offset);
     return;
   }
+  const KnownSession ended = EndingSession(state_, record.value());
   const Verdict verdict = Apply(state_, offset, record.value());
   shared_.metrics_.Count("sassafrasbay_log_records_total",
                          verdict.valid_ ? "valid=\"true\"" : "valid=\"false\"");
   for (const PlacementDecision& decision : verdict.decisions_) {
     // Moves that a starting node replays happened before its time.
     if (counts_moves_ && ChangesOwner(decision, record.value())) {
-      shared_.metrics_.Count("sassafrasbay_ownership_moves_total",
-                             "service=\"" + decision.unit_.service_ + "\"");
+      shared_.metrics_.Count(kMovesMetric, "service=\"" + decision.unit_.service_ + "\"");
     }
-    LogInfo("placement", "Unit " + decision.unit_.service_ + "/" +
-                             std::to_string(decision.unit_.unit_) + " goes from " +
-                             (decision.from_.empty() ? "nobody" : decision.from_) + " to " +
-                             (decision.to_.empty() ? "nobody" : decision.to_) + " under token " +
-                             std::to_string(decision.token_) + ": " + decision.reason_ + ".");
+    LogDecision(state_, ended, decision);
   }
   hooks_.on_applied_(offset, record.value(), verdict);
 }
--- a/Services/sassafrasbay/operator_api.cc
+++ b/Services/sassafrasbay/operator_api.cc
@@ -2,9 +2,11 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "LibControl/placement.h"
 #include "LibRouting/classify.h"
 
 namespace sassafrasbay {
@@ -63,6 +65,38 @@
           {"grantors", std::move(grantors)}};
 }
 
+/// Highest over mean number of units of the sessions of a service.
+double UnitImbalance(const ControlState& state, const std::string& name, std::size_t units) {
+  std::size_t sessions = 0;
+  std::size_t highest = 0;
+  for (const auto& [id, session] : state.sessions_) {
+    if (session.join_.service_ == name) {
+      ++sessions;
+      highest = std::max<std::size_t>(highest, CountUnits(state, id));
+    }
+  }
+  return units == 0 ? 1 : static_cast<double>(highest * sessions) / static_cast<double>(units);
+}
+
+json DescribeService(const Metrics& metrics, const ControlState& state, const std::string& name,
+                     const ServiceState& service) {
+  std::size_t without_owner = 0;
+  std::size_t moving = 0;
+  ForEachUnit(name, service, [&](const UnitId&, const Unit& unit) {
+    without_owner += unit.owner_.empty() ? 1 : 0;
+    moving += unit.move_ ? 1 : 0;
+  });
+  const std::size_t units = service.shards_.size() + service.overrides_.size();
+  const std::string labels = "service=\"" + name + "\"";
+  return {{"shards", service.shards_.size()},
+          {"overrides", service.overrides_.size()},
+          {"without_owner", without_owner},
+          {"moving", moving},
+          {"unit_imbalance", UnitImbalance(state, name, units)},
+          {"ownership_moves", metrics.CounterValue(kMovesMetric, labels)},
+          {"unavailable_unit_ms", metrics.CounterValue(kUnavailableMetric, labels)}};
+}
+
 }  // namespace
 
 OperatorApi::OperatorApi(SharedState& shared, const LeaseView& lease, UpstreamLink& link,
@@ -74,7 +108,8 @@
 }
 
 HttpResponse OperatorApi::Handle(const HttpRequest& request) {
-  const std::string_view path = std::string_view(request.path_).substr(0, request.path_.find('?'));
+  std::string_view path = request.path_;
+  path = path.substr(0, path.find('?'));
   if (path == "/-/announce" && request.method_ == "POST") {
     return Announce(request);
   }
@@ -135,6 +170,7 @@
                {"units_held", units_.Count()}};
   if (snapshot_) {
     const ControlState& state = *snapshot_->state_;
+    body["planner"] = NodeName(state, PlannerSession(state));
     body["session"] = snapshot_->own_session_;
     body["next_offset"] = state.next_offset_;
     body["configuration_version"] = state.configuration_version_;
@@ -144,8 +180,7 @@
     }
     body["services"] = json::object();
     for (const auto& [name, service] : state.services_) {
-      body["services"][name] = {{"shards", service.shards_.size()},
-                                {"overrides", service.overrides_.size()}};
+      body["services"][name] = DescribeService(shared_.metrics_, state, name, service);
     }
   }
   return JsonResponse(200, body);
@@ -195,6 +230,15 @@
   metrics.SetGauge("sassafrasbay_admission_queued", {},
                    static_cast<double>(admission.queue_.size()));
   if (snapshot_) {
+    for (const auto& [name, service] : snapshot_->state_->services_) {
+      const std::string labels = "service=\"" + name + "\"";
+      const std::size_t units = service.shards_.size() + service.overrides_.size();
+      metrics.SetGauge("sassafrasbay_unit_imbalance", labels,
+                       UnitImbalance(*snapshot_->state_, name, units));
+      // Shown as 0 before the first one, so that a rate can be taken from the beginning.
+      metrics.Count(kMovesMetric, labels, 0);
+      metrics.Count(kUnavailableMetric, labels, 0);
+    }
     metrics.SetGauge("sassafrasbay_configuration_version", {},
                      static_cast<double>(snapshot_->state_->configuration_version_));
     metrics.SetGauge("sassafrasbay_log_next_offset", {},
--- a/Services/sassafrasbay/query_commands.cc
+++ b/Services/sassafrasbay/query_commands.cc
@@ -20,7 +20,8 @@
 
 constexpr std::string_view kStatusHelp =
     "--node ADDRESS\n\n"
-    "Shows what a node knows: its lease, the sessions with their units, the services.\n\n"
+    "Shows what a node knows: its lease, the sessions with their units, and for each\nservice its "
+    "units, and the moves and the unavailable time that this node has seen.\n\n"
     "Example:\n  sassafrasbay status --node 127.0.0.1:8080\n";
 
 constexpr std::string_view kExplainHelp =
@@ -83,6 +84,21 @@
   std::cout << "\n";
 }
 
+void PrintService(const std::string& name, const json& service) {
+  const double unavailable_s = service.value("unavailable_unit_ms", 0.0) / 1000;
+  std::cout << "  " << name << "  shards " << Text(service, "shards") << "  keys of their own "
+            << Text(service, "overrides") << "  units without owner "
+            << Text(service, "without_owner") << "  moving " << Text(service, "moving")
+            << "  max/mean units " << service.value("unit_imbalance", 1.0) << "  moves seen "
+            << Text(service, "ownership_moves") << "  unavailable " << unavailable_s
+            << " unit-seconds\n";
+}
+
+std::string LeaseText(const json& status) {
+  const auto remaining_ms = status.value("lease_remaining_ms", std::int64_t{0});
+  return remaining_ms > 0 ? "lease for " + std::to_string(remaining_ms) + " ms" : "no lease";
+}
+
 }  // namespace
 
 ExitCode RunStatusCommand(std::span<const char*> arguments) {
@@ -101,14 +117,19 @@
     return ExitCode::kFailure;
   }
   std::cout << "Node " << Text(*status, "node") << " in " << Text(*status, "data_centre")
-            << ": upstream " << Text(*status, "upstream") << ", lease for "
-            << Text(*status, "lease_remaining_ms") << " ms, units " << Text(*status, "units_held")
-            << "\nLog read up to offset " << Text(*status, "next_offset")
-            << ", configuration version " << Text(*status, "configuration_version")
+            << ": upstream " << Text(*status, "upstream") << ", " << LeaseText(*status)
+            << ", units " << Text(*status, "units_held") << "\nLog read up to offset "
+            << Text(*status, "next_offset") << ", configuration version "
+            << Text(*status, "configuration_version") << ", planner " << Text(*status, "planner")
             << "\nSessions:\n";
   for (const json& session : status->value("sessions", json::array())) {
     PrintSession(session);
   }
+  std::cout << "Services:\n";
+  const json services = status->value("services", json::object());
+  for (const auto& [name, service] : services.items()) {
+    PrintService(name, service);
+  }
   return ExitCode::kSuccess;
 }
 
--- a/Services/sassafrasbay/shared_state.h
+++ b/Services/sassafrasbay/shared_state.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibConfiguration/node_settings.h"
@@ -25,6 +26,10 @@
   std::uint32_t connections_ = 130;
 };
 
+/// Counters by service that status shows too.
+inline constexpr std::string_view kMovesMetric = "sassafrasbay_ownership_moves_total";
+inline constexpr std::string_view kUnavailableMetric = "sassafrasbay_unavailable_unit_ms_total";
+
 /// State that both threads of a node use.
 struct SharedState {
   NodeSettings settings_;
