Tests: Wait for grantors before malformed input is sent

Cause: the record of unknown rules landed before the other nodes had joined, so the only session renewed its lease through the log and lost it, as the design says of a lone session. The promise to go on serving is that of sessions with grantors.

--- a/Tests/Integration/test_bad_input.cc
+++ b/Tests/Integration/test_bad_input.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <thread>
@@ -18,6 +19,17 @@
 
 constexpr std::uint64_t kSeed = 20261204;
 
+/// Whether a node knows every session with two grantors.
+bool HasGrantors(Fleet& fleet, std::size_t index) {
+  const auto status = GetJson(fleet.Node(index).callers_port_, "/-/status");
+  if (!status.is_object() || status.value("sessions", nlohmann::json()).size() != fleet.Size()) {
+    return false;
+  }
+  return std::ranges::all_of(status["sessions"], [](const nlohmann::json& session) {
+    return session.at("grantors").size() == 2;
+  });
+}
+
 std::unique_ptr<Fleet> BuildFleet() {
   auto fleet = FleetBuilder()
                    .AddNode({.data_centre_ = "dc1"})
@@ -27,6 +39,10 @@
   BOOST_REQUIRE_MESSAGE(fleet, (fleet ? "" : ToString(fleet.error())));
   BOOST_REQUIRE(fleet.value()->Publish({{"bench.routing.toml", Routing("bench", "first")}}));
   BOOST_REQUIRE(WaitForService(*fleet.value(), "/bench/first-1"));
+  // With grantors, leases don't depend on the log.
+  for (std::size_t index = 0; index < fleet.value()->Size(); ++index) {
+    BOOST_REQUIRE(WaitUntil([&] { return HasGrantors(*fleet.value(), index); }));
+  }
   return std::move(fleet).value();
 }
 
