Services: Keep acknowledged bookings known through repeated losses

Change: unconfirmed tables are sent again, recovery is repeated up to 6 times before a release, answers are final, outcomes are recorded under the key's present unit, and an outcome counts as acknowledged only when its copy was confirmed under a held lease.

--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -11,6 +11,12 @@
 constexpr std::string_view kPart = "units";
 constexpr milliseconds kHandoverTimeout{500};
 constexpr milliseconds kHandoverRetryDelay{100};
+constexpr milliseconds kRunningPoll{20};
+constexpr milliseconds kRecoveryRetryDelay{300};
+constexpr milliseconds kCopyRepeatDelay{500};
+
+/// About 3 s with time-outs: a grantor that is silent for longer is ended by its own grantors.
+constexpr int kMaxRecoveryAttempts = 6;
 
 /// Shard of the key that an override was split off for; nothing when the unit is a shard.
 std::optional<std::uint32_t> ShardOfOverride(const ControlState& state, const UnitId& id) {
@@ -139,7 +145,8 @@
   if (!unit.inherited_from_.empty()) {
     OpenUnit(table_, id, true, WallNow(), TableTerms());
     Advance(id, held, "assigned");
-    Recover(id, unit);
+    held.recovery_open_ = true;
+    Recover(id);
     return;
   }
   if (!StartFromShard(id, held)) {
@@ -155,11 +162,31 @@
   // Ids of the key ran under the shard until now, so the override starts with the shard's table;
   // without that table nothing is known of them.
   const UnitId shard{id.service_, *held.split_from_};
-  OpenUnit(table_, id, !units_.contains(shard), WallNow(), TableTerms());
+  const auto origin = units_.find(shard);
+  OpenUnit(table_, id, origin == units_.end(), WallNow(), TableTerms());
   MergeTable(shard, id);
+  if (origin != units_.end()) {
+    held.unanswered_until_ = origin->second.unanswered_until_;
+    held.awaits_shard_ = origin->second.recovery_open_;
+  }
   return true;
 }
 
+// An override that was split off during the recovery of its shard has what was known then.
+void OwnedUnits::PassOnRecovery(const UnitId& shard) {
+  const bool complete = IsComplete(table_, shard, WallNow(), TableTerms());
+  for (auto& [id, held] : units_) {
+    if (!held.awaits_shard_ || id.service_ != shard.service_ || held.split_from_ != shard.unit_) {
+      continue;
+    }
+    MergeTable(shard, id);
+    if (complete) {
+      MarkComplete(table_, id);
+    }
+    held.awaits_shard_ = units_.at(shard).recovery_open_;
+  }
+}
+
 void OwnedUnits::MergeTable(const UnitId& from, const UnitId& to) {
   std::vector<TableEntry> entries = EntriesOf(from);
   for (TableEntry& entry : entries) {
@@ -175,27 +202,48 @@
   unknown_until = std::max(unknown_until.value_or(WallTime{}), *source->second.unknown_until_);
 }
 
-void OwnedUnits::Recover(const UnitId& id, const Unit& unit) {
+void OwnedUnits::Recover(const UnitId& id) {
+  const Unit* unit = FindUnit(*snapshot_->state_, id);
+  OwnedUnit& held = units_.at(id);
+  ++held.recovery_attempts_;
   copies_.Recover(
-      id, unit,
-      [this, id, token = unit.token_](bool complete, const std::vector<TableEntry>& entries) {
-        const auto found = units_.find(id);
-        if (found == units_.end() || found->second.token_ != token) {
-          return;
-        }
-        AdoptEntries(table_, id, entries, WallNow(), TableTerms());
-        if (complete) {
-          MarkComplete(table_, id);
-        }
-        LogInfo(kPart, "Recovered " + std::to_string(entries.size()) + " request ids of " +
-                           Describe(id, token) + (complete ? ", complete." : ", incomplete."));
-        if (found->second.position_.state_ == "recovering") {
-          Advance(id, found->second, "recovered");
+      id, *unit,
+      [this, id, tenure = held.tenure_](bool complete, const std::vector<TableEntry>& entries) {
+        if (IsCurrent(id, tenure)) {
+          OnRecovered(id, complete, entries);
         }
-        UnitsChanged();
       });
 }
 
+void OwnedUnits::OnRecovered(const UnitId& id, bool complete, std::span<const TableEntry> entries) {
+  OwnedUnit& held = units_.at(id);
+  AdoptEntries(table_, id, entries, WallNow(), TableTerms());
+  if (complete) {
+    MarkComplete(table_, id);
+  }
+  LogInfo(kPart, "Recovered " + std::to_string(entries.size()) + " request ids of " +
+                     Describe(id, held.token_) + (complete ? ", complete." : ", incomplete."));
+  if (held.position_.state_ == "recovering") {
+    Advance(id, held, "recovered");
+  }
+  const Unit* unit = FindUnit(*snapshot_->state_, id);
+  const bool inherited = unit != nullptr && !unit->inherited_from_.empty();
+  // A grantor that is cut off or paused for a moment still has its copies; the unit serves
+  // meanwhile and answers unknown for ids that it can't judge.
+  held.recovery_open_ = !complete && inherited && held.recovery_attempts_ < kMaxRecoveryAttempts;
+  if (held.recovery_open_) {
+    loop_.StartTimer(kRecoveryRetryDelay, [this, id, tenure = held.tenure_] {
+      if (IsCurrent(id, tenure)) {
+        Recover(id);
+      }
+    });
+  } else if (unit != nullptr && unit->move_ && unit->owner_ == snapshot_->own_session_) {
+    StartRelease(id, *unit->move_);
+  }
+  PassOnRecovery(id);
+  UnitsChanged();
+}
+
 void OwnedUnits::Keep(const UnitId& id, OwnedUnit& held, Offset token) {
   LogInfo(kPart, "Keeping " + Describe(id, held.token_) + "; its token is now " +
                      std::to_string(token) + ".");
@@ -210,7 +258,8 @@
 
 void OwnedUnits::StartRelease(const UnitId& id, const PendingMove& move) {
   OwnedUnit& unit = units_.at(id);
-  if (unit.position_.state_ == "releasing") {
+  // Handed over before its recovery ends, the table would stay incomplete at the target.
+  if (unit.position_.state_ == "releasing" || unit.recovery_open_ || unit.awaits_shard_) {
     return;
   }
   unit.move_ = move;
@@ -236,6 +285,10 @@
     loop_.StartTimer(wait + milliseconds(1), [this, id] { TryHandover(id); });
     return;
   }
+  if (hooks_.has_running_(id)) {
+    loop_.StartTimer(kRunningPoll, [this, id] { TryHandover(id); });
+    return;
+  }
   SendHandover(id, unit);
 }
 
@@ -369,6 +422,8 @@
   if (shard && FindUnit(*snapshot_->state_, id) == nullptr &&
       units_.contains(UnitId{id.service_, *shard})) {
     // A merged key's ids are the shard's from now on.
+    OwnedUnit& merged = units_.at(UnitId{id.service_, *shard});
+    merged.unanswered_until_ = std::max(merged.unanswered_until_, found->second.unanswered_until_);
     MergeTable(id, UnitId{id.service_, *shard});
   }
   CloseUnit(table_, id);
@@ -394,10 +449,20 @@
 void OwnedUnits::UnitsChanged() {
   units_changed_ = false;
   std::map<UnitId, Offset> tokens;
+  for (const auto& [id, unit] : units_) {
+    tokens.emplace(id, unit.token_);
+  }
+  link_.SetUnits(std::move(tokens));
+  CopyTables();
+  for (auto& [id, unit] : units_) {
+    AnnounceServing(id, unit);
+  }
+}
+
+void OwnedUnits::CopyTables() {
   std::vector<std::pair<UnitId, Offset>> covered;
   std::vector<TableEntry> entries;
   for (const auto& [id, unit] : units_) {
-    tokens.emplace(id, unit.token_);
     // An incomplete table must not pass for a complete one at the next takeover.
     if (IsComplete(table_, id, WallNow(), TableTerms())) {
       covered.emplace_back(id, unit.token_);
@@ -407,11 +472,16 @@
     const std::vector<TableEntry> of_unit = EntriesOf(id);
     entries.insert(entries.end(), of_unit.begin(), of_unit.end());
   }
-  link_.SetUnits(std::move(tokens));
-  copies_.CopyAll(covered, entries);
-  for (auto& [id, unit] : units_) {
-    AnnounceServing(id, unit);
-  }
+  copies_.CopyAll(covered, entries, [this] {
+    // A lost copy of the table would leave the grantor without it until the next change.
+    if (!copy_repeat_due_) {
+      copy_repeat_due_ = true;
+      loop_.StartTimer(kCopyRepeatDelay, [this] {
+        copy_repeat_due_ = false;
+        CopyTables();
+      });
+    }
+  });
 }
 
 std::vector<TableEntry> OwnedUnits::EntriesOf(const UnitId& id) const {
--- a/Services/sassafrasbay/owned_units.h
+++ b/Services/sassafrasbay/owned_units.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     std::function<void(const UnitId&)> on_serving_;  ///< Requests for the unit may run now.
     /// The unit is gone or being released: requests that wait for it go elsewhere.
     std::function<void(const UnitId&)> on_unavailable_;
+    /// Whether a request for a key of the unit runs that was taken under the unit's shard or
+    /// override before a split or merge.
+    std::function<bool(const UnitId&)> has_running_;
   };
 
   enum class Availability {
@@ -72,7 +76,10 @@
     BootTime unanswered_until_{};
     std::optional<PendingMove> move_;
     bool handover_running_ = false;
-    bool announced_ = false;  ///< on_serving_ has been called.
+    int recovery_attempts_ = 0;
+    bool awaits_shard_ = false;   ///< Split off a shard whose own recovery is open.
+    bool recovery_open_ = false;  ///< A recovery of the table runs or is about to be repeated.
+    bool announced_ = false;      ///< on_serving_ has been called.
   };
 
   void Synchronize(const UnitId& id, const Unit& unit);
@@ -80,7 +87,9 @@
   void Acquire(const UnitId& id, const Unit& unit);
   bool StartFromShard(const UnitId& id, OwnedUnit& held);
   void MergeTable(const UnitId& from, const UnitId& to);
-  void Recover(const UnitId& id, const Unit& unit);
+  void Recover(const UnitId& id);
+  void PassOnRecovery(const UnitId& shard);
+  void OnRecovered(const UnitId& id, bool complete, std::span<const TableEntry> entries);
   void Keep(const UnitId& id, OwnedUnit& held, Offset token);
   void StartRelease(const UnitId& id, const PendingMove& move);
   void TryHandover(const UnitId& id);
@@ -92,6 +101,7 @@
   void Advance(const UnitId& id, OwnedUnit& unit, std::string_view event);
   void AnnounceServing(const UnitId& id, OwnedUnit& unit);
   void UnitsChanged();
+  void CopyTables();
   std::vector<TableEntry> EntriesOf(const UnitId& id) const;
   RequestTableTerms TableTerms() const;
 
@@ -110,6 +120,7 @@
   std::map<UnitId, Handover> early_handovers_;  ///< Received before their move was read.
   Offset grantors_changed_at_ = 0;
   bool units_changed_ = false;
+  bool copy_repeat_due_ = false;
   std::uint64_t next_tenure_ = 1;
 };
 
--- a/Services/sassafrasbay/owner.cc
+++ b/Services/sassafrasbay/owner.cc
@@ -118,6 +118,7 @@
     return;
   }
   CountRequest(load_, active.forward_.unit_, active.forward_.key_hash_);
+  active.lease_ = lease_.cell_;
   active.tenure_ = units_.Pin(active.forward_.unit_);
   active.pinned_ = true;
   if (active.kind_ == RequestKind::kBinding && !EnterTable(number, active)) {
@@ -412,27 +413,64 @@
   Active& active = active_.at(number);
   active.stage_ = Stage::kRecording;
   TableEntry entry;
-  entry.unit_ = active.forward_.unit_;
+  entry.unit_ = CurrentUnit(active);
   entry.id_ = active.forward_.idempotency_key_;
   entry.fingerprint_ = active.fingerprint_;
   entry.phase_ = EntryPhase::kDone;
   entry.answer_ = answer;
   // The caller sees the outcome only when a grantor has it, so that an acknowledged booking is
-  // still acknowledged after the loss of this node.
+  // still acknowledged after the loss of this node. Once the lease has expired, a successor may
+  // have read the copies already.
   copies_.Copy(entry, [this, number, answer](bool copied) {
-    if (active_.contains(number)) {
-      Deliver(number, copied ? answer : Unknown("no grantor confirmed the copy of the outcome"));
+    const auto found = active_.find(number);
+    if (found == active_.end()) {
+      return;
     }
+    const auto& lease = found->second.lease_;
+    const bool held = lease != nullptr && LeaseEnd(*lease) > BootClock::now();
+    Deliver(number,
+            copied && held ? answer : Unknown("the outcome was not copied under a held lease"));
   });
 }
 
 void Owner::FinishInTable(Active& active, const RoutedAnswer& answer) {
-  const UnitId& unit = active.forward_.unit_;
-  if (active.recorded_ || !units_.IsCurrent(unit, active.tenure_)) {
+  if (active.recorded_) {
     return;
   }
   active.recorded_ = true;
-  Finish(table_, unit, active.forward_.idempotency_key_, answer);
+  const UnitId& unit = active.forward_.unit_;
+  if (units_.IsCurrent(unit, active.tenure_)) {
+    Finish(table_, unit, active.forward_.idempotency_key_, answer);
+  }
+  const UnitId current = CurrentUnit(active);
+  if (current == unit || answer.outcome_ != Outcome::kAnswered) {
+    return;
+  }
+  // The key was split off or merged while the request ran, and its table took the id over as one
+  // whose outcome is not known.
+  TableEntry entry;
+  entry.unit_ = current;
+  entry.id_ = active.forward_.idempotency_key_;
+  entry.fingerprint_ = active.fingerprint_;
+  entry.phase_ = EntryPhase::kDone;
+  entry.answer_ = answer;
+  AdoptEntries(table_, current, {&entry, 1}, WallNow(), TableTerms());
+}
+
+UnitId Owner::CurrentUnit(const Active& active) const {
+  const UnitId& unit = active.forward_.unit_;
+  const auto service = snapshot_->state_->services_.find(unit.service_);
+  if (service == snapshot_->state_->services_.end()) {
+    return unit;
+  }
+  return UnitOfKey(service->second, unit.service_, active.forward_.key_hash_);
+}
+
+bool Owner::HasRunning(const UnitId& unit) const {
+  return std::any_of(active_.begin(), active_.end(), [this, &unit](const auto& item) {
+    const Active& active = item.second;
+    return active.pinned_ && active.forward_.unit_ != unit && CurrentUnit(active) == unit;
+  });
 }
 
 void Owner::Deliver(std::uint64_t number, const RoutedAnswer& answer) {
--- a/Services/sassafrasbay/owner.h
+++ b/Services/sassafrasbay/owner.h
@@ -57,6 +57,10 @@
   void OnUnitServing(const UnitId& unit);
   void OnUnitUnavailable(const UnitId& unit);
 
+  /// Whether a request runs for a key that belongs to the unit now, but belonged to another one
+  /// when the request was taken.
+  bool HasRunning(const UnitId& unit) const;
+
   bool IsIdle() const { return active_.empty(); }
   const Admission& CurrentAdmission() const { return admission_; }
   const LoadMeter& Load() const { return load_; }
@@ -80,11 +84,14 @@
     bool recorded_ = false;  ///< The table has the outcome.
     int attempts_ = 0;
     BootTime handed_over_at_{};
-    BootTime expiry_{};  ///< Of the latest hand-over.
+    BootTime expiry_{};                       ///< Of the latest hand-over.
+    std::shared_ptr<const LeaseCell> lease_;  ///< Under which the request was taken.
     BootTime unanswered_until_{};
     HttpClient::CallId call_ = 0;
   };
 
+  UnitId CurrentUnit(const Active& active) const;
+
   using TableKey = std::pair<UnitId, std::string>;
 
   void Start(std::uint64_t number);
--- a/Services/sassafrasbay/request_copies.cc
+++ b/Services/sassafrasbay/request_copies.cc
@@ -8,6 +8,7 @@
 /// Three round trips between data centres with a loaded peer; a slower grantor counts as absent.
 constexpr milliseconds kCopyTimeout{250};
 constexpr milliseconds kRecoveryTimeout{400};
+constexpr milliseconds kTableTimeout{1000};
 
 struct PendingCopy {
   std::size_t outstanding_ = 0;
@@ -23,6 +24,16 @@
   done(confirmed);
 }
 
+bool IsAnswered(const TableEntry& entry) {
+  return entry.phase_ == EntryPhase::kDone && entry.answer_.outcome_ == Outcome::kAnswered;
+}
+
+/// An answer is final. A successor that could not see it may have recorded the id as unknown, and a
+/// copy of that must not replace the answer.
+bool KnowsMore(const TableEntry& entry, const TableEntry& held) {
+  return IsAnswered(entry) || (entry.phase_ == EntryPhase::kDone && !IsAnswered(held));
+}
+
 }  // namespace
 
 RequestCopies::RequestCopies(TrafficPeers& peers, SharedState& shared)
@@ -49,14 +60,22 @@
 }
 
 void RequestCopies::CopyAll(const std::vector<std::pair<UnitId, Offset>>& units,
-                            const std::vector<TableEntry>& entries) {
+                            const std::vector<TableEntry>& entries,
+                            const std::function<void()>& failed) {
   const Session* own = FindSession(*snapshot_->state_, snapshot_->own_session_);
   if (own == nullptr) {
     return;
   }
   for (const std::string& address : GrantorAddresses()) {
     CopyTable table{0, own->join_.session_, true, own->grantors_changed_at_, units, entries};
-    peers_.Request(address, std::move(table), milliseconds(0), [](const auto&) {});
+    peers_.Request(address, std::move(table), kTableTimeout,
+                   [this, address, session = own->join_.session_,
+                    failed](const Result<TrafficMessage>& reply) {
+                     if (!reply && session == snapshot_->own_session_ &&
+                         std::ranges::count(GrantorAddresses(), address) > 0) {
+                       failed();
+                     }
+                   });
   }
 }
 
@@ -77,7 +96,7 @@
     current_ = current_ && current;
     for (const TableEntry& entry : reply.entries_) {
       const auto [found, inserted] = entries_.emplace(entry.id_, entry);
-      if (!inserted && entry.phase_ == EntryPhase::kDone) {
+      if (!inserted && KnowsMore(entry, found->second)) {
         found->second = entry;
       }
     }
@@ -176,10 +195,17 @@
     entries.erase(copy.entry_.id_);
     return;
   }
-  entries[copy.entry_.id_] = copy.entry_;
+  const auto [held, inserted] = entries.emplace(copy.entry_.id_, copy.entry_);
+  if (!inserted && !IsAnswered(held->second)) {
+    held->second = copy.entry_;
+  }
 }
 
 void CopyStore::Store(const CopyTable& table, BootTime now) {
+  const auto held = tables_.find(table.session_);
+  if (held != tables_.end() && held->second.grantors_changed_at_ > table.grantors_changed_at_) {
+    return;  // Sent before the one that is held.
+  }
   Table fresh;
   fresh.stored_at_ = now;
   fresh.grantors_changed_at_ = table.grantors_changed_at_;
--- a/Services/sassafrasbay/request_copies.h
+++ b/Services/sassafrasbay/request_copies.h
@@ -27,9 +27,10 @@
   /// has no grantor, false when none did.
   void Copy(const TableEntry& entry, std::function<void(bool)> done);
 
-  /// Sends the whole table to all grantors.
+  /// Sends the whole table to all grantors. `failed` runs for each one that did not confirm it
+  /// although it is still a grantor of the same session.
   void CopyAll(const std::vector<std::pair<UnitId, Offset>>& units,
-               const std::vector<TableEntry>& entries);
+               const std::vector<TableEntry>& entries, const std::function<void()>& failed);
 
   /// Collects the copies of a unit from the grantors of the session it was inherited from, and of
   /// earlier holders as long as the later ones had not recovered its table. `done` gets whether
--- a/Services/sassafrasbay/traffic_loop.cc
+++ b/Services/sassafrasbay/traffic_loop.cc
@@ -29,7 +29,8 @@
   operators_.SetUpstreamStarted([this] { owner_.OnUpstreamStarted(); });
   link_.SetHooks({[this] { units_.OnGranted(); }, [this] { owner_.OnUpstreamLost(); }});
   units_.SetHooks({[this](const UnitId& unit) { owner_.OnUnitServing(unit); },
-                   [this](const UnitId& unit) { owner_.OnUnitUnavailable(unit); }});
+                   [this](const UnitId& unit) { owner_.OnUnitUnavailable(unit); },
+                   [this](const UnitId& unit) { return owner_.HasRunning(unit); }});
   SASSAFRASBAY_TRY(peers_.Listen([this](ConnectionId connection, TrafficMessage message) {
     OnMessage(connection, std::move(message));
   }));
