--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy
   libace-dev libwebsocketpp-dev libboost-dev libboost-test-dev nlohmann-json3-dev
   libtomlplusplus-dev libcurl4-openssl-dev libmicrohttpd-dev libpopt-dev
-  libeasyloggingpp-dev libxxhash-dev librapidcheck-dev curl
+  libeasyloggingpp-dev libxxhash-dev curl
 )
 missing=()
 for package in "${packages[@]}"; do
