Services: Stop taking work before the grace period of a drain ends

Cause: a node that can't move its units stopped taking work when the grace period had ended, so a request taken at that moment still started at the upstream after it. Change: it stops after three quarters of the period.

LibCore: include toml++ through one header without its assertions. In builds without NDEBUG text such as [!] from a file or the log ended the process (TestRecordCodec, JunkNeverEscapes, under sanitizers); it is a fault now.

--- a/Libraries/LibConfiguration/toml_scope.h
+++ b/Libraries/LibConfiguration/toml_scope.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <toml++/toml.h>
-
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
@@ -10,6 +8,7 @@
 #include <vector>
 
 #include "LibConfiguration/routing_configuration.h"
+#include "LibCore/toml.h"
 
 namespace sassafrasbay {
 
--- a/Libraries/LibCore/state_chart.cc
+++ b/Libraries/LibCore/state_chart.cc
@@ -1,13 +1,13 @@
 #include "LibCore/state_chart.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <initializer_list>
 #include <optional>
 #include <vector>
 
+#include "LibCore/toml.h"
+
 namespace sassafrasbay {
 namespace {
 
--- a/Services/sassafrasbay/session_keeper.cc
+++ b/Services/sassafrasbay/session_keeper.cc
@@ -280,7 +280,10 @@
   if (drain_started_ == BootTime{}) {
     return;
   }
-  const bool grace_over = BootClock::now() - drain_started_ >= shared_.settings_.drain_grace_;
+  // The last quarter of the grace period is for work that was taken just before: no request may
+  // start at the upstream after the period.
+  const bool grace_over =
+      BootClock::now() - drain_started_ >= shared_.settings_.drain_grace_ * 3 / 4;
   if (!active_.empty() && !OwnsUnits() && !end_written_) {
     EndSession();
   }
--- a/Tests/LibConfiguration/test_node_settings.cc
+++ b/Tests/LibConfiguration/test_node_settings.cc
@@ -148,6 +148,13 @@
   BOOST_TEST(faults == expected, boost::test_tools::per_element());
 }
 
+// Guards against an assertion of the TOML library ending the process on a key that starts wrong.
+BOOST_AUTO_TEST_CASE(WrongStartOfAKeyIsAFault) {
+  for (const char* text : {"[!x]\n", "[\n]\n", "[\001a]\n", "a.! = 1\n"}) {
+    BOOST_TEST(!FaultsOf(text).empty());
+  }
+}
+
 // Guards against a syntax error without the line to look at.
 BOOST_AUTO_TEST_CASE(SyntaxErrorHasALine) {
   const auto faults = FaultsOf("[node]\nname = \n");
