Services: Build outcome entries and visit units in one place

The entry that records an outcome was built three times in owner_outcome.cc, and the visit of a service's units stood in the fold and again in owned_units.h. Both exist once now; ForEachUnit moved to control_state.h. No behaviour changes. Five unit test programs of LibControl and TestAtMostOnce, TestAtMostOnceMoves and TestCrashingRequest pass; formatter and linter are clean for the changed sources.

--- a/Libraries/LibControl/control_state.cc
+++ b/Libraries/LibControl/control_state.cc
@@ -102,7 +102,7 @@
   const auto service = state.services_.find(found->join_.service_);
   std::size_t count = 0;
   if (service != state.services_.end()) {
-    fold::ForEachUnit(service->first, service->second, [&](const UnitId&, const Unit& unit) {
+    ForEachUnit(service->first, service->second, [&](const UnitId&, const Unit& unit) {
       count += (unit.move_ ? unit.move_->to_ : unit.owner_) == session ? 1 : 0;
     });
   }
--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -132,4 +132,18 @@
 /// Number of units of `session`; a moving unit counts for its target only.
 std::size_t CountUnits(const ControlState& state, std::string_view session);
 
+/// Calls visit(UnitId, Unit&) for each shard and override of a service, in a fixed order.
+template <typename Service, typename Visit>
+void ForEachUnit(std::string_view name, Service& service, Visit visit) {
+  UnitId id{std::string(name), 0};
+  for (auto& shard : service.shards_) {
+    visit(id, shard);
+    ++id.unit_;
+  }
+  for (auto& [hash, entry] : service.overrides_) {
+    id.unit_ = entry.unit_;
+    visit(id, entry.ownership_);
+  }
+}
+
 }  // namespace sassafrasbay
--- a/Libraries/LibControl/fold.h
+++ b/Libraries/LibControl/fold.h
@@ -49,20 +49,6 @@
 /// Reassigns the units of a session that has been removed from the state.
 void TakeOverUnits(Step& step, const SessionJoined& ended);
 
-/// Calls visit(UnitId, Unit&) for each shard and override of a service, in a fixed order.
-template <typename Service, typename Visit>
-void ForEachUnit(std::string_view name, Service& service, Visit visit) {
-  UnitId id{std::string(name), 0};
-  for (auto& shard : service.shards_) {
-    visit(id, shard);
-    ++id.unit_;
-  }
-  for (auto& [hash, entry] : service.overrides_) {
-    id.unit_ = entry.unit_;
-    visit(id, entry.ownership_);
-  }
-}
-
 /// Clears the attestations of earlier epochs.
 void StartEpoch(Session& session, std::uint64_t epoch, Offset offset);
 
--- a/Services/sassafrasbay/owned_units.h
+++ b/Services/sassafrasbay/owned_units.h
@@ -127,15 +127,4 @@
 /// "SERVICE/UNIT under token TOKEN", for log lines.
 std::string Describe(const UnitId& unit, Offset token);
 
-/// Calls `visit(id, unit)` for every shard and key override of a service.
-template <typename Visitor>
-void ForEachUnit(const std::string& name, const ServiceState& service, Visitor visit) {
-  for (std::uint32_t index = 0; index < service.shards_.size(); ++index) {
-    visit(UnitId{name, index}, service.shards_[index]);
-  }
-  for (const auto& [key_hash, item] : service.overrides_) {
-    visit(UnitId{name, item.unit_}, item.ownership_);
-  }
-}
-
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/owner.h
+++ b/Services/sassafrasbay/owner.h
@@ -91,6 +91,8 @@
   };
 
   UnitId CurrentUnit(const Active& active) const;
+  static TableEntry OutcomeEntry(const Active& active, const UnitId& unit,
+                                 const RoutedAnswer& answer);
 
   using TableKey = std::pair<UnitId, std::string>;
 
--- a/Services/sassafrasbay/owner_outcome.cc
+++ b/Services/sassafrasbay/owner_outcome.cc
@@ -37,13 +37,7 @@
     Record(number, answer);
     return;
   }
-  TableEntry entry;
-  entry.unit_ = active.forward_.unit_;
-  entry.id_ = active.forward_.idempotency_key_;
-  entry.fingerprint_ = active.fingerprint_;
-  entry.phase_ = EntryPhase::kDone;
-  entry.answer_ = answer;
-  copies_.Copy(entry, [](bool) {});
+  copies_.Copy(OutcomeEntry(active, active.forward_.unit_, answer), [](bool) {});
   Deliver(number, answer);
 }
 
@@ -65,15 +59,10 @@
 void Owner::CopyOutcome(std::uint64_t number, const RoutedAnswer& answer) {
   Active& active = active_.at(number);
   active.stage_ = Stage::kRecording;
-  TableEntry entry;
-  entry.unit_ = CurrentUnit(active);
-  entry.id_ = active.forward_.idempotency_key_;
-  entry.fingerprint_ = active.fingerprint_;
-  entry.phase_ = EntryPhase::kDone;
-  entry.answer_ = answer;
   // The caller sees the outcome only when a grantor has it, so that an acknowledged booking is
   // still acknowledged after the loss of this node. Once the lease has expired, a successor may
   // have read the copies already.
+  const TableEntry entry = OutcomeEntry(active, CurrentUnit(active), answer);
   copies_.Copy(entry, [this, number, answer](bool copied) {
     const auto found = active_.find(number);
     if (found == active_.end()) {
@@ -101,13 +90,19 @@
   }
   // The key was split off or merged while the request ran, and its table took the id over as one
   // whose outcome is not known.
+  const TableEntry entry = OutcomeEntry(active, current, answer);
+  AdoptEntries(table_, current, {&entry, 1}, WallNow(), TableTerms());
+}
+
+TableEntry Owner::OutcomeEntry(const Active& active, const UnitId& unit,
+                               const RoutedAnswer& answer) {
   TableEntry entry;
-  entry.unit_ = current;
+  entry.unit_ = unit;
   entry.id_ = active.forward_.idempotency_key_;
   entry.fingerprint_ = active.fingerprint_;
   entry.phase_ = EntryPhase::kDone;
   entry.answer_ = answer;
-  AdoptEntries(table_, current, {&entry, 1}, WallNow(), TableTerms());
+  return entry;
 }
 
 UnitId Owner::CurrentUnit(const Active& active) const {
