--- /dev/null
+++ b/Libraries/LibOwnership/hold_rules.cc
@@ -0,0 +1,65 @@
+#include "LibOwnership/hold_rules.h"
+
+#include <algorithm>
+
+namespace sassafrasbay {
+
+// The record of a successor is written after `confirmed` at the earliest, and the successor's node
+// waits for kTakeoverWait from its reading of that record. A grant that ends kTakeoverWait after
+// `confirmed` on any clock therefore ends before the successor is granted anything.
+std::optional<milliseconds> GrantLength(BootTime confirmed, BootTime now, milliseconds longest) {
+  const auto left = std::chrono::duration_cast<milliseconds>(confirmed + kTakeoverWait - now);
+  const milliseconds safe(
+      static_cast<milliseconds::rep>(static_cast<double>(left.count()) / (1.0 + kClockSlowness)));
+  const milliseconds length = std::min({safe, kGrantLength, longest});
+  if (length < kShortestGrant) {
+    return std::nullopt;
+  }
+  return length;
+}
+
+BootTime GrantEnd(BootTime now, milliseconds length) {
+  const auto stretched = static_cast<milliseconds::rep>(static_cast<double>(length.count()) *
+                                                        (1.0 + kClockSlowness)) +
+                         1;
+  return now + milliseconds(stretched);
+}
+
+std::vector<HeldRange> RangesToGrant(const KeyTable& table, const Holder& holder) {
+  std::vector<HeldRange> ranges;
+  for (const KeyRange& range : table.ranges_) {
+    if (range.owner_ == holder && !range.successor_) {
+      ranges.push_back({{range.first_, range.last_}, range.token_, range.handover_});
+    }
+  }
+  return ranges;
+}
+
+bool HasUnplannedSuccessor(const KeyTable& table, const Holder& holder) {
+  return std::any_of(table.ranges_.begin(), table.ranges_.end(), [&](const KeyRange& range) {
+    return range.owner_ == holder && range.successor_ && !range.planned_;
+  });
+}
+
+std::vector<KeySpan> KeysNotHeld(KeySpan span, const std::vector<HeldRange>& held) {
+  std::vector<KeySpan> parts{span};
+  for (const HeldRange& range : held) {
+    std::vector<KeySpan> rest;
+    for (const KeySpan& part : parts) {
+      if (range.keys_.last_ < part.first_ || range.keys_.first_ > part.last_) {
+        rest.push_back(part);
+        continue;
+      }
+      if (range.keys_.first_ > part.first_) {
+        rest.push_back({part.first_, range.keys_.first_ - 1});
+      }
+      if (range.keys_.last_ < part.last_) {
+        rest.push_back({range.keys_.last_ + 1, part.last_});
+      }
+    }
+    parts = std::move(rest);
+  }
+  return parts;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibOwnership/hold_rules.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/clock.h"
+#include "LibOwnership/key_table.h"
+
+namespace sassafrasbay {
+
+/// Time from the record that names a successor until the successor's node may take the range
+/// without the owner's release. A node renews holds only up to this time after the last moment at
+/// which its table was known to be the newest. Long enough to serve through an outage of the store
+/// of several seconds; a lost VM's keys are unserved for as long.
+inline constexpr milliseconds kTakeoverWait{6000};
+
+/// Length of one grant. Covers the restart of a node's process, about 3.5 s, beside an upstream
+/// that goes on running.
+inline constexpr milliseconds kGrantLength{4500};
+
+/// Shorter grants than this would lapse before the next heartbeat.
+inline constexpr milliseconds kShortestGrant{300};
+
+/// An upstream's clock may run this much slower than real time while it measures a grant.
+inline constexpr double kClockSlowness = 0.02;
+
+/// Length of a grant that a heartbeat received at `now` may get when the table was last known to be
+/// the newest at `confirmed`; nothing when that is too long ago. `longest` is the upstream's bound.
+std::optional<milliseconds> GrantLength(BootTime confirmed, BootTime now, milliseconds longest);
+
+/// When a grant of that length, given at `now`, has certainly ended.
+BootTime GrantEnd(BootTime now, milliseconds length);
+
+/// One range as an upstream says that it holds it, or is told to.
+struct HeldRange {
+  KeySpan keys_;
+  std::uint64_t token_ = 0;
+  std::string handover_;  ///< Only in grants.
+
+  friend bool operator==(const HeldRange&, const HeldRange&) = default;
+};
+
+/// Ranges to grant to the holder: those that it owns and that are not changing hands.
+std::vector<HeldRange> RangesToGrant(const KeyTable& table, const Holder& holder);
+
+/// True when a range of the holder may be taken over because its node seemed lost. Such ranges must
+/// not be renewed, nor released, until its node has taken them back.
+bool HasUnplannedSuccessor(const KeyTable& table, const Holder& holder);
+
+/// Keys of `span` that are in none of the held ranges.
+std::vector<KeySpan> KeysNotHeld(KeySpan span, const std::vector<HeldRange>& held);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibOwnership/key_table.cc
@@ -0,0 +1,76 @@
+#include "LibOwnership/key_table.h"
+
+#include <algorithm>
+
+namespace sassafrasbay {
+namespace {
+
+bool DifferInKeysOnly(const KeyRange& left, const KeyRange& right) {
+  return left.last_ + 1 == right.first_ && left.token_ == right.token_ &&
+         left.owner_ == right.owner_ && left.successor_ == right.successor_ &&
+         left.planned_ == right.planned_ && left.handover_ == right.handover_;
+}
+
+}  // namespace
+
+const KeyRange* FindRange(const KeyTable& table, ShardKey key) {
+  const auto after =
+      std::upper_bound(table.ranges_.begin(), table.ranges_.end(), key,
+                       [](ShardKey value, const KeyRange& range) { return value < range.first_; });
+  if (after == table.ranges_.begin()) {
+    return nullptr;
+  }
+  const KeyRange& range = *std::prev(after);
+  return key <= range.last_ ? &range : nullptr;
+}
+
+std::vector<KeySpan> UnownedKeys(const KeyTable& table) {
+  std::vector<KeySpan> gaps;
+  ShardKey next = 0;
+  for (const KeyRange& range : table.ranges_) {
+    if (range.first_ > next) {
+      gaps.push_back({next, range.first_ - 1});
+    }
+    next = range.last_ + 1;
+  }
+  if (next <= kLastShardKey) {
+    gaps.push_back({next, kLastShardKey});
+  }
+  return gaps;
+}
+
+std::uint32_t OwnedKeys(const KeyTable& table, const Holder& holder) {
+  std::uint32_t keys = 0;
+  for (const KeyRange& range : table.ranges_) {
+    if (range.owner_ == holder) {
+      keys += range.last_ - range.first_ + 1;
+    }
+  }
+  return keys;
+}
+
+void JoinNeighbours(KeyTable& table) {
+  std::vector<KeyRange> joined;
+  for (KeyRange& range : table.ranges_) {
+    if (!joined.empty() && DifferInKeysOnly(joined.back(), range)) {
+      joined.back().last_ = range.last_;
+      continue;
+    }
+    joined.push_back(std::move(range));
+  }
+  table.ranges_ = std::move(joined);
+}
+
+void SplitAt(KeyTable& table, ShardKey key) {
+  for (auto range = table.ranges_.begin(); range != table.ranges_.end(); ++range) {
+    if (range->first_ < key && key <= range->last_) {
+      KeyRange upper = *range;
+      upper.first_ = key;
+      range->last_ = key - 1;
+      table.ranges_.insert(std::next(range), std::move(upper));
+      return;
+    }
+  }
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -0,0 +1,276 @@
+#include "LibOwnership/ownership_decision.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sassafrasbay {
+namespace {
+
+using Decision = std::optional<OwnershipChange>;
+
+ChangeKey KeyOf(const KeyRange& range) {
+  return {range.first_, range.last_, range.token_, range.owner_, *range.successor_};
+}
+
+Decision IfChanged(const KeyTable& table, KeyTable next, std::string reason) {
+  if (SameRanges(table, next)) {
+    return std::nullopt;
+  }
+  return OwnershipChange{std::move(next), std::move(reason)};
+}
+
+bool IsReachable(const OwnershipView& view, const NodeView& node) {
+  return view.now_ - node.last_heard_ < kSuspectAfter;
+}
+
+bool CanTakeKeys(const OwnUpstream& own) {
+  return own.holder_ && !own.draining_ && !own.left_ && !own.gone_;
+}
+
+/// Upstreams that can take keys now, with the own one if `with_own`.
+std::vector<Candidate> Candidates(const OwnershipView& view, bool with_own) {
+  std::vector<Candidate> candidates;
+  if (with_own && CanTakeKeys(view.own_)) {
+    candidates.push_back({*view.own_.holder_, view.own_.slots_});
+  }
+  for (const NodeView& node : view.nodes_) {
+    if (node.upstream_ && IsReachable(view, node)) {
+      candidates.push_back(*node.upstream_);
+    }
+  }
+  return candidates;
+}
+
+const NodeView* FindNode(const OwnershipView& view, const std::string& address) {
+  const auto found = std::find_if(view.nodes_.begin(), view.nodes_.end(),
+                                  [&](const NodeView& node) { return node.address_ == address; });
+  return found == view.nodes_.end() ? nullptr : &*found;
+}
+
+/// The reachable node with the lowest address that reaches the store plans for all; the conditional
+/// writes settle it when two take themselves for that node.
+bool IsPlanner(const OwnershipView& view) {
+  return std::none_of(view.nodes_.begin(), view.nodes_.end(), [&](const NodeView& node) {
+    return node.reaches_store_ && IsReachable(view, node) && node.address_ < view.self_;
+  });
+}
+
+bool IsOlderIncarnation(const OwnershipView& view, const Holder& owner) {
+  return view.own_.holder_ && owner != *view.own_.holder_ &&
+         owner.born_ms_ <= view.own_.holder_->born_ms_;
+}
+
+/// Whether an owner beside this node certainly holds nothing any more. A new incarnation, or a
+/// closed port, proves that the former one is gone; silence needs the end of all grants.
+bool HoldsNothing(const OwnershipView& view, const Holder& owner) {
+  if (IsOlderIncarnation(view, owner)) {
+    return true;
+  }
+  const bool is_current = view.own_.holder_ && owner == *view.own_.holder_;
+  if (is_current && view.own_.gone_) {
+    return true;
+  }
+  const bool silent =
+      view.own_.left_ || view.now_ - view.own_.last_heartbeat_ > kUpstreamSilence;
+  // Grants of an earlier process of this node end within one wait after the start of this one.
+  const BootTime earlier_grants = view.started_ + kTakeoverWait;
+  return silent && view.now_ > std::max(view.own_.granted_until_, earlier_grants);
+}
+
+/// Gives away what incarnations beside this node owned that hold nothing any more.
+Decision ReplaceGoneOwners(const KeyTable& table, const OwnershipView& view) {
+  for (const KeyRange& range : table.ranges_) {
+    if (range.owner_.node_ != view.self_ || !HoldsNothing(view, range.owner_)) {
+      continue;
+    }
+    const std::vector<Candidate> candidates = Candidates(view, true);
+    return IfChanged(table, ReplaceOwner(table, range.owner_, candidates),
+                     "upstream " + range.owner_.instance_ + " beside this node is gone");
+  }
+  return std::nullopt;
+}
+
+Decision ReleaseMovingKeys(const KeyTable& table, const OwnershipView& view) {
+  const OwnUpstream& own = view.own_;
+  if (!own.holder_) {
+    return std::nullopt;
+  }
+  std::vector<ReleasedKeys> released;
+  for (const KeyRange& range : table.ranges_) {
+    const bool yields = range.planned_ || IsIsolated(view);
+    if (range.owner_ != *own.holder_ || !range.successor_ || !yields) {
+      continue;
+    }
+    const KeySpan span{range.first_, range.last_};
+    bool freed_whole = false;
+    for (const ReleasedKeys& keys : own.released_) {
+      const KeySpan part{std::max(keys.keys_.first_, span.first_),
+                         std::min(keys.keys_.last_, span.last_)};
+      if (part.first_ <= part.last_) {
+        released.push_back({part, keys.handover_});
+        freed_whole = freed_whole || part == span;
+      }
+    }
+    // Keys that it doesn't list any more, and didn't hand over, are not held either.
+    if (!freed_whole && own.held_is_current_) {
+      for (const KeySpan& part : KeysNotHeld(span, own.held_)) {
+        released.push_back({part, {}});
+      }
+    }
+  }
+  if (released.empty()) {
+    return std::nullopt;
+  }
+  return IfChanged(table, Release(table, *own.holder_, released), "upstream released the keys");
+}
+
+Decision KeepOwnRanges(const KeyTable& table, const OwnershipView& view) {
+  if (!CanTakeKeys(view.own_) || IsIsolated(view)) {
+    return std::nullopt;
+  }
+  return IfChanged(table, KeepRanges(table, *view.own_.holder_), "this node is not lost");
+}
+
+Decision EmptyDrainingUpstream(const KeyTable& table, const OwnershipView& view) {
+  if (!view.own_.holder_ || !view.own_.draining_ || view.own_.left_) {
+    return std::nullopt;
+  }
+  const std::vector<Candidate> candidates = Candidates(view, false);
+  return IfChanged(table, NameSuccessors(table, *view.own_.holder_, candidates, true),
+                   "upstream is draining");
+}
+
+/// The successor's node makes it the owner once the former owner's hold has certainly ended.
+Decision CompleteWaitedMoves(const KeyTable& table, const OwnershipView& view) {
+  std::vector<KeySpan> spans;
+  for (const KeyRange& range : table.ranges_) {
+    if (!range.successor_ || range.successor_->node_ != view.self_) {
+      continue;
+    }
+    const auto read = view.first_read_.find(KeyOf(range));
+    if (read != view.first_read_.end() && view.now_ - read->second > kTakeoverWait) {
+      spans.push_back({range.first_, range.last_});
+    }
+  }
+  if (spans.empty()) {
+    return std::nullopt;
+  }
+  return IfChanged(table, CompleteMoves(table, spans), "the former owner's hold has ended");
+}
+
+bool IsLost(const OwnershipView& view, const Holder& holder) {
+  if (holder.node_ == view.self_) {
+    return false;
+  }
+  if (const auto kept = view.kept_.find(holder);
+      kept != view.kept_.end() && view.now_ - kept->second < kTrustAfterKeeping) {
+    return false;
+  }
+  const NodeView* node = FindNode(view, holder.node_);
+  return (node == nullptr || !IsReachable(view, *node)) &&
+         view.now_ - view.started_ > kFirstAssignmentDelay;
+}
+
+Decision ReplaceLostNodes(const KeyTable& table, const OwnershipView& view) {
+  if (IsIsolated(view)) {
+    return std::nullopt;
+  }
+  const std::vector<Candidate> candidates = Candidates(view, true);
+  for (const KeyRange& range : table.ranges_) {
+    if (!range.successor_ && IsLost(view, range.owner_)) {
+      return IfChanged(table, NameSuccessors(table, range.owner_, candidates, false),
+                       "node " + range.owner_.node_ + " is not reachable");
+    }
+    if (range.successor_ && IsLost(view, *range.successor_) && !candidates.empty()) {
+      // Another successor starts a new wait, since it is another change.
+      KeyTable next = table;
+      ++next.version_;
+      const Holder lost = *range.successor_;
+      for (KeyRange& other : next.ranges_) {
+        if (other.successor_ == lost) {
+          other.successor_ = candidates.front().holder_;
+        }
+      }
+      return IfChanged(table, std::move(next), "node " + lost.node_ + " is not reachable");
+    }
+  }
+  return std::nullopt;
+}
+
+Decision AssignFirst(const KeyTable& table, const OwnershipView& view) {
+  if (UnownedKeys(table).empty() || view.now_ - view.started_ < kFirstAssignmentDelay) {
+    return std::nullopt;
+  }
+  return IfChanged(table, AssignUnowned(table, Candidates(view, true)), "keys had no owner");
+}
+
+/// An upstream without keys gets an even share from the one with most.
+Decision FillEmptyUpstream(const KeyTable& table, const OwnershipView& view) {
+  const bool moving = std::any_of(table.ranges_.begin(), table.ranges_.end(),
+                                  [](const KeyRange& range) { return range.successor_; });
+  if (moving) {
+    return std::nullopt;
+  }
+  const std::vector<Candidate> candidates = Candidates(view, true);
+  const auto fullest = std::max_element(candidates.begin(), candidates.end(),
+                                        [&](const Candidate& left, const Candidate& right) {
+                                          return OwnedKeys(table, left.holder_) <
+                                                 OwnedKeys(table, right.holder_);
+                                        });
+  for (const Candidate& candidate : candidates) {
+    if (OwnedKeys(table, candidate.holder_) > 0) {
+      continue;
+    }
+    std::uint32_t wanted =
+        (kLastShardKey + 1) / static_cast<std::uint32_t>(candidates.size()) / 2;
+    for (const KeyRange& range : table.ranges_) {
+      if (range.owner_ == fullest->holder_) {
+        const std::uint32_t size = range.last_ - range.first_ + 1;
+        const KeySpan span{range.last_ + 1 - std::min(size, wanted), range.last_};
+        return IfChanged(table, BeginMove(table, fullest->holder_, span, candidate.holder_),
+                         "upstream " + candidate.holder_.instance_ + " has no keys");
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+bool IsIsolated(const OwnershipView& view) {
+  return view.reachable_nodes_ * 2 < view.known_nodes_;
+}
+
+Decision DecideOwnershipChange(const KeyTable& table, const OwnershipView& view) {
+  if (!view.reaches_store_) {
+    return std::nullopt;
+  }
+  for (const auto decide : {&ReplaceGoneOwners, &ReleaseMovingKeys, &KeepOwnRanges,
+                            &EmptyDrainingUpstream, &CompleteWaitedMoves}) {
+    if (Decision decision = decide(table, view)) {
+      return decision;
+    }
+  }
+  if (!IsPlanner(view)) {
+    return std::nullopt;
+  }
+  for (const auto decide : {&ReplaceLostNodes, &AssignFirst, &FillEmptyUpstream}) {
+    if (Decision decision = decide(table, view)) {
+      return decision;
+    }
+  }
+  return std::nullopt;
+}
+
+void NoteChanges(const KeyTable& table, BootTime now, std::map<ChangeKey, BootTime>& first_read) {
+  std::set<ChangeKey> current;
+  for (const KeyRange& range : table.ranges_) {
+    if (range.successor_) {
+      current.insert(KeyOf(range));
+      first_read.try_emplace(KeyOf(range), now);
+    }
+  }
+  std::erase_if(first_read, [&](const auto& entry) { return !current.contains(entry.first); });
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "LibCore/clock.h"
+#include "LibOwnership/hold_rules.h"
+#include "LibOwnership/key_table.h"
+#include "LibOwnership/table_changes.h"
+
+namespace sassafrasbay {
+
+/// What a node knows of another node of the service, or of itself.
+struct NodeView {
+  std::string address_;  ///< Peer address of the node.
+  BootTime last_heard_{};
+  bool reaches_store_ = false;  ///< It has read the newest table within the last second.
+  /// The upstream beside it that can take keys; nothing when it has none that is ready.
+  std::optional<Candidate> upstream_;
+  double load_ = 0;  ///< Slots in use and waiting requests, as a share of the slots.
+};
+
+/// The upstream beside this node.
+struct OwnUpstream {
+  std::optional<Holder> holder_;  ///< Newest incarnation that sent a heartbeat.
+  std::uint32_t slots_ = 1;
+  bool draining_ = false;
+  bool left_ = false;  ///< It said that it leaves for good and sends no further heartbeats.
+  bool gone_ = false;  ///< Its port refuses connections and its heartbeats have stopped.
+  /// When everything that was granted to any incarnation here has certainly ended.
+  BootTime granted_until_{};
+  BootTime last_heartbeat_{};
+  std::vector<HeldRange> held_;  ///< What it holds or still works on, by its newest heartbeat.
+  /// That heartbeat was sent after an answer that left out all ranges that are changing hands.
+  bool held_is_current_ = false;
+  std::vector<ReleasedKeys> released_;  ///< Keys released since the last written release.
+};
+
+/// Identifies one change of owner: keys, token and the two holders.
+using ChangeKey = std::tuple<ShardKey, ShardKey, std::uint64_t, Holder, Holder>;
+
+/// Everything that one decision depends on.
+struct OwnershipView {
+  std::string self_;
+  BootTime now_{};
+  BootTime started_{};  ///< When this process began to read the table.
+  bool reaches_store_ = false;
+  OwnUpstream own_;
+  std::vector<NodeView> nodes_;  ///< All known nodes of the service but this one.
+  std::size_t known_nodes_ = 1;  ///< All nodes of the system, with this one.
+  std::size_t reachable_nodes_ = 1;  ///< Those heard of within kSuspectAfter, with this one.
+  /// When a node took back ranges that others thought lost.
+  std::map<Holder, BootTime> kept_;
+  std::map<ChangeKey, BootTime> first_read_;  ///< When this process first read of each change.
+};
+
+/// A node that has not been heard of for this long may be lost. Three missed reports and the time
+/// of a reconnect.
+inline constexpr milliseconds kSuspectAfter{1500};
+
+/// Before the first assignment, time for the upstreams to send their first heartbeats, which come
+/// up to 1.5 s apart.
+inline constexpr milliseconds kFirstAssignmentDelay{2500};
+
+/// Silence of the own upstream after which its keys go to others, once its grants have ended.
+inline constexpr milliseconds kUpstreamSilence{3000};
+
+/// A node that has just taken back its ranges is not taken for lost again for this long, since it
+/// lives and reaches the store even if this node doesn't hear of it.
+inline constexpr milliseconds kTrustAfterKeeping{4000};
+
+struct OwnershipChange {
+  KeyTable table_;
+  std::string reason_;  ///< For the log.
+};
+
+/// True when this node reaches less than half of all nodes: it can't judge others, and its own keys
+/// are of little use to callers elsewhere.
+bool IsIsolated(const OwnershipView& view);
+
+/// The change that this node has to write now, if any. One at a time: the next is decided on the
+/// table that results.
+std::optional<OwnershipChange> DecideOwnershipChange(const KeyTable& table,
+                                                     const OwnershipView& view);
+
+/// Notes new changes of owner with `now` and forgets those that have ended.
+void NoteChanges(const KeyTable& table, BootTime now, std::map<ChangeKey, BootTime>& first_read);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibOwnership/table_changes.cc
@@ -0,0 +1,225 @@
+#include "LibOwnership/table_changes.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace sassafrasbay {
+namespace {
+
+/// Keys for each candidate, so that several ranges given away in one change spread over all.
+struct KeyCounts {
+  std::map<Holder, double> keys_;
+};
+
+KeyCounts CountKeys(const KeyTable& table, std::span<const Candidate> candidates) {
+  KeyCounts counts;
+  for (const Candidate& candidate : candidates) {
+    counts.keys_[candidate.holder_] = 0;
+  }
+  for (const KeyRange& range : table.ranges_) {
+    const auto found = counts.keys_.find(range.successor_ ? *range.successor_ : range.owner_);
+    if (found != counts.keys_.end()) {
+      found->second += range.last_ - range.first_ + 1;
+    }
+  }
+  return counts;
+}
+
+double KeysForWeight(const KeyCounts& counts, const Candidate& candidate) {
+  return counts.keys_.at(candidate.holder_) / std::max<std::uint32_t>(candidate.weight_, 1);
+}
+
+/// Parts of a span of keys with the candidate that gets each.
+std::vector<std::pair<KeySpan, Holder>> Divide(KeySpan span, KeyCounts& counts,
+                                               std::span<const Candidate> candidates) {
+  // Pieces of a sixteenth of an equal share let the filling even out differences between candidates
+  // without cutting the table into many ranges: neighbours of one candidate are joined.
+  constexpr std::size_t kPiecesPerCandidate = 16;
+  std::vector<std::pair<KeySpan, Holder>> parts;
+  const std::uint32_t total = span.last_ - span.first_ + 1;
+  const auto piece = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(total / (kPiecesPerCandidate * candidates.size())));
+  std::map<Holder, std::uint32_t> given;
+  for (std::uint32_t left = total; left > 0;) {
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                       [&](const Candidate& a, const Candidate& b) {
+                                         return KeysForWeight(counts, a) < KeysForWeight(counts, b);
+                                       });
+    const std::uint32_t size = std::min(piece, left);
+    given[best->holder_] += size;
+    counts.keys_[best->holder_] += size;
+    left -= size;
+  }
+  ShardKey next = span.first_;
+  for (const auto& [holder, size] : given) {
+    parts.push_back({{next, next + size - 1}, holder});
+    next += size;
+  }
+  return parts;
+}
+
+KeyTable NextVersion(const KeyTable& table) {
+  KeyTable next = table;
+  ++next.version_;
+  return next;
+}
+
+void SetOwner(KeyRange& range, const Holder& owner, std::uint64_t token, std::string handover) {
+  range.owner_ = owner;
+  range.token_ = token;
+  range.successor_.reset();
+  range.planned_ = false;
+  range.handover_ = std::move(handover);
+}
+
+void SortRanges(KeyTable& table) {
+  std::sort(table.ranges_.begin(), table.ranges_.end(),
+            [](const KeyRange& left, const KeyRange& right) { return left.first_ < right.first_; });
+}
+
+/// Replaces each range that `matches` by parts, one for each candidate that gets keys of it.
+template <typename Matches, typename Apply>
+void DivideRanges(KeyTable& table, std::span<const Candidate> candidates, Matches matches,
+                  Apply apply) {
+  KeyCounts counts = CountKeys(table, candidates);
+  std::vector<KeyRange> ranges;
+  for (const KeyRange& range : table.ranges_) {
+    if (!matches(range)) {
+      ranges.push_back(range);
+      continue;
+    }
+    for (const auto& [span, holder] : Divide({range.first_, range.last_}, counts, candidates)) {
+      KeyRange part = range;
+      part.first_ = span.first_;
+      part.last_ = span.last_;
+      apply(part, holder);
+      ranges.push_back(std::move(part));
+    }
+  }
+  table.ranges_ = std::move(ranges);
+}
+
+}  // namespace
+
+KeyTable AssignUnowned(const KeyTable& table, std::span<const Candidate> candidates) {
+  KeyTable next = NextVersion(table);
+  if (candidates.empty()) {
+    return next;
+  }
+  KeyCounts counts = CountKeys(table, candidates);
+  for (const KeySpan& gap : UnownedKeys(table)) {
+    for (const auto& [span, holder] : Divide(gap, counts, candidates)) {
+      KeyRange range;
+      range.first_ = span.first_;
+      range.last_ = span.last_;
+      SetOwner(range, holder, next.version_, {});
+      next.ranges_.push_back(std::move(range));
+    }
+  }
+  SortRanges(next);
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable ReplaceOwner(const KeyTable& table, const Holder& gone,
+                      std::span<const Candidate> candidates) {
+  KeyTable next = NextVersion(table);
+  if (candidates.empty()) {
+    return next;
+  }
+  // A range that was moving goes to its successor: that node may already expect it.
+  for (KeyRange& range : next.ranges_) {
+    if (range.owner_ == gone && range.successor_ && *range.successor_ != gone) {
+      SetOwner(range, Holder(*range.successor_), next.version_, {});
+    }
+  }
+  DivideRanges(
+      next, candidates, [&](const KeyRange& range) { return range.owner_ == gone; },
+      [&](KeyRange& part, const Holder& holder) { SetOwner(part, holder, next.version_, {}); });
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable NameSuccessors(const KeyTable& table, const Holder& owner,
+                        std::span<const Candidate> candidates, bool planned) {
+  KeyTable next = NextVersion(table);
+  if (candidates.empty()) {
+    return next;
+  }
+  DivideRanges(
+      next, candidates,
+      [&](const KeyRange& range) { return range.owner_ == owner && !range.successor_; },
+      [&](KeyRange& part, const Holder& holder) {
+        part.successor_ = holder;
+        part.planned_ = planned;
+      });
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable BeginMove(const KeyTable& table, const Holder& owner, KeySpan keys,
+                   const Holder& successor) {
+  KeyTable next = NextVersion(table);
+  SplitAt(next, keys.first_);
+  if (keys.last_ < kLastShardKey) {
+    SplitAt(next, keys.last_ + 1);
+  }
+  for (KeyRange& range : next.ranges_) {
+    const bool inside = range.first_ >= keys.first_ && range.last_ <= keys.last_;
+    if (inside && range.owner_ == owner && !range.successor_ && successor != owner) {
+      range.successor_ = successor;
+      range.planned_ = true;
+    }
+  }
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable Release(const KeyTable& table, const Holder& owner,
+                 std::span<const ReleasedKeys> released) {
+  KeyTable next = NextVersion(table);
+  for (const ReleasedKeys& keys : released) {
+    SplitAt(next, keys.keys_.first_);
+    if (keys.keys_.last_ < kLastShardKey) {
+      SplitAt(next, keys.keys_.last_ + 1);
+    }
+    for (KeyRange& range : next.ranges_) {
+      const bool inside = range.first_ >= keys.keys_.first_ && range.last_ <= keys.keys_.last_;
+      if (inside && range.owner_ == owner && range.successor_) {
+        SetOwner(range, Holder(*range.successor_), next.version_, keys.handover_);
+      }
+    }
+  }
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable CompleteMoves(const KeyTable& table, std::span<const KeySpan> ranges) {
+  KeyTable next = NextVersion(table);
+  for (KeyRange& range : next.ranges_) {
+    const KeySpan span{range.first_, range.last_};
+    if (range.successor_ && std::find(ranges.begin(), ranges.end(), span) != ranges.end()) {
+      SetOwner(range, Holder(*range.successor_), next.version_, {});
+    }
+  }
+  JoinNeighbours(next);
+  return next;
+}
+
+KeyTable KeepRanges(const KeyTable& table, const Holder& owner) {
+  KeyTable next = NextVersion(table);
+  for (KeyRange& range : next.ranges_) {
+    if (range.owner_ == owner && range.successor_ && !range.planned_) {
+      range.successor_.reset();
+    }
+  }
+  JoinNeighbours(next);
+  return next;
+}
+
+bool SameRanges(const KeyTable& left, const KeyTable& right) {
+  return left.ranges_ == right.ranges_;
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibRouting/cbor_fields.cc
+++ b/Libraries/LibRouting/cbor_fields.cc
@@ -288,4 +288,28 @@
   return MakeError(Errc::kMalformed, step, "", "field " + std::string(reader.fault_));
 }
 
+Cbor HeadersToCbor(const HeaderList& headers) {
+  Cbor::array_t items;
+  items.reserve(headers.size() * 2);
+  for (const auto& [name, value] : headers) {
+    items.push_back(Bytes(name));
+    items.push_back(Bytes(value));
+  }
+  return items;
+}
+
+HeaderList ReadHeaders(FieldReader& reader) {
+  Cbor::array_t items = TakeArray(reader, "h");
+  HeaderList headers;
+  headers.reserve(items.size() / 2);
+  if (items.size() % 2 != 0) {
+    NoteFault(reader, "h");
+    return headers;
+  }
+  for (std::size_t i = 0; i < items.size(); i += 2) {
+    headers.emplace_back(ToBytes(reader, "h", items[i]), ToBytes(reader, "h", items[i + 1]));
+  }
+  return headers;
+}
+
 }  // namespace sassafrasbay
--- a/Libraries/LibRouting/cbor_fields.h
+++ b/Libraries/LibRouting/cbor_fields.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibCore/error.h"
+#include "LibCore/http_message.h"
 
 namespace sassafrasbay {
 
@@ -73,6 +74,12 @@
 /// Content of a byte string of the frame; notes a fault when the value isn't one.
 std::string ToBytes(FieldReader& reader, std::string_view name, const Cbor& value);
 
+/// Names and values alternate in one array, which needs no array for each header.
+Cbor HeadersToCbor(const HeaderList& headers);
+
+/// The headers in the field `h`.
+HeaderList ReadHeaders(FieldReader& reader);
+
 /// Passes the fault of a nested map on to the reader of the enclosing one.
 void Inherit(FieldReader& outer, const FieldReader& inner);
 
--- /dev/null
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -0,0 +1,253 @@
+#include <limits>
+#include <utility>
+
+#include "LibRouting/cbor_fields.h"
+#include "LibRouting/node_messages.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kStep = "decode node message";
+constexpr std::uint64_t kMaxStatus = 999;
+constexpr std::uint64_t kMaxRank = 1000;
+
+/// Values of `t`. They are part of the protocol: new types get new numbers.
+enum class Type : std::uint64_t {
+  kForwardedRequest = 32,
+  kForwardedAnswer = 33,
+  kCancelForwarded = 34,
+  kNodeReport = 35,
+  kStateTransfer = 36,
+  kSuspect = 37,
+};
+
+Cbor Start(Type type) { return {{"t", static_cast<std::uint64_t>(type)}}; }
+
+void WriteLoad(Cbor& value, const GateLoad& load) {
+  value["ls"] = load.slots_;
+  value["lr"] = load.running_;
+  value["lw"] = load.waiting_;
+}
+
+GateLoad ReadLoad(FieldReader& reader) {
+  GateLoad load;
+  Read(reader, "ls", load.slots_);
+  Read(reader, "lr", load.running_);
+  Read(reader, "lw", load.waiting_);
+  return load;
+}
+
+std::string Write(const ForwardedRequest& message) {
+  Cbor value = Start(Type::kForwardedRequest);
+  value["n"] = message.number_;
+  value["s"] = message.service_;
+  if (message.shard_key_) {
+    value["k"] = *message.shard_key_;
+  }
+  value["i"] = Bytes(message.request_id_);
+  value["c"] = message.class_;
+  value["rk"] = message.rank_;
+  value["id"] = message.idempotent_;
+  value["ms"] = message.remaining_ms_;
+  value["om"] = message.objective_ms_;
+  value["f"] = message.fingerprint_;
+  value["m"] = Bytes(message.request_.method_);
+  value["p"] = Bytes(message.request_.path_);
+  value["h"] = HeadersToCbor(message.request_.headers_);
+  return SerializeFrame(value, message.request_.body_);
+}
+
+std::string Write(const ForwardedAnswer& message) {
+  Cbor value = Start(Type::kForwardedAnswer);
+  value["n"] = message.number_;
+  value["o"] = static_cast<std::uint64_t>(message.outcome_);
+  value["r"] = static_cast<std::uint64_t>(message.reason_);
+  value["ra"] = message.retry_after_ms_;
+  WriteLoad(value, message.load_);
+  value["st"] = message.response_.status_;
+  value["h"] = HeadersToCbor(message.response_.headers_);
+  return SerializeFrame(value, message.response_.body_);
+}
+
+std::string Write(const CancelForwarded& message) {
+  Cbor value = Start(Type::kCancelForwarded);
+  value["n"] = message.number_;
+  return SerializeFrame(value);
+}
+
+std::string Write(const NodeReport& message) {
+  Cbor value = Start(Type::kNodeReport);
+  value["a"] = message.address_;
+  value["dc"] = message.data_centre_;
+  value["ck"] = message.clock_ms_;
+  value["ec"] = message.echoed_clock_ms_;
+  value["tk"] = message.tables_known_;
+  value["ta"] = message.tables_age_ms_;
+  value["te"] = message.tables_end_;
+  value["rs"] = message.reaches_store_;
+  value["cv"] = message.configuration_version_;
+  WriteLoad(value, message.load_);
+  value["us"] = message.upstream_.service_;
+  value["ui"] = message.upstream_.instance_;
+  value["ub"] = message.upstream_.born_ms_;
+  value["uk"] = message.upstream_.takes_keys_;
+  value["lv"] = message.leaving_;
+  return SerializeFrame(value);
+}
+
+std::string Write(const StateTransfer& message) {
+  Cbor value = Start(Type::kStateTransfer);
+  value["c"] = Bytes(message.configuration_);
+  value["te"] = message.tables_end_;
+  Cbor::array_t records;
+  for (const auto& [key, record] : message.records_) {
+    records.push_back(Bytes(key));
+    records.push_back(Bytes(record));
+  }
+  value["rs"] = std::move(records);
+  return SerializeFrame(value);
+}
+
+std::string Write(const Suspect& message) {
+  Cbor value = Start(Type::kSuspect);
+  value["f"] = message.fingerprint_;
+  value["cr"] = message.crashes_;
+  return SerializeFrame(value);
+}
+
+ForwardedRequest ReadForwardedRequest(FieldReader& reader) {
+  ForwardedRequest message;
+  Read(reader, "n", message.number_);
+  message.service_ = TakeText(reader, "s");
+  if (reader.fields_ != nullptr && reader.fields_->contains("k")) {
+    Read(reader, "k", message.shard_key_.emplace());
+  }
+  message.request_id_ = TakeBytes(reader, "i");
+  message.class_ = TakeText(reader, "c");
+  message.rank_ = static_cast<int>(TakeUnsigned(reader, "rk", kMaxRank));
+  message.idempotent_ = TakeFlag(reader, "id");
+  Read(reader, "ms", message.remaining_ms_);
+  Read(reader, "om", message.objective_ms_);
+  Read(reader, "f", message.fingerprint_);
+  message.request_.method_ = TakeBytes(reader, "m");
+  message.request_.path_ = TakeBytes(reader, "p");
+  message.request_.headers_ = ReadHeaders(reader);
+  message.request_.body_ = TakeBytes(reader, kBodyField);
+  return message;
+}
+
+ForwardedAnswer ReadForwardedAnswer(FieldReader& reader) {
+  ForwardedAnswer message;
+  Read(reader, "n", message.number_);
+  message.outcome_ = static_cast<GateOutcome>(
+      TakeUnsigned(reader, "o", static_cast<std::uint64_t>(GateOutcome::kUnknown)));
+  message.reason_ = static_cast<RefusalReason>(
+      TakeUnsigned(reader, "r", static_cast<std::uint64_t>(RefusalReason::kDeadline)));
+  Read(reader, "ra", message.retry_after_ms_);
+  message.load_ = ReadLoad(reader);
+  message.response_.status_ = static_cast<int>(TakeUnsigned(reader, "st", kMaxStatus));
+  message.response_.headers_ = ReadHeaders(reader);
+  message.response_.body_ = TakeBytes(reader, kBodyField);
+  return message;
+}
+
+NodeReport ReadNodeReport(FieldReader& reader) {
+  NodeReport message;
+  message.address_ = TakeText(reader, "a");
+  message.data_centre_ = TakeText(reader, "dc");
+  Read(reader, "ck", message.clock_ms_);
+  Read(reader, "ec", message.echoed_clock_ms_);
+  message.tables_known_ = TakeFlag(reader, "tk");
+  Read(reader, "ta", message.tables_age_ms_);
+  Read(reader, "te", message.tables_end_);
+  message.reaches_store_ = TakeFlag(reader, "rs");
+  Read(reader, "cv", message.configuration_version_);
+  message.load_ = ReadLoad(reader);
+  message.upstream_.service_ = TakeText(reader, "us");
+  message.upstream_.instance_ = TakeText(reader, "ui");
+  Read(reader, "ub", message.upstream_.born_ms_);
+  message.upstream_.takes_keys_ = TakeFlag(reader, "uk");
+  message.leaving_ = TakeFlag(reader, "lv");
+  return message;
+}
+
+StateTransfer ReadStateTransfer(FieldReader& reader) {
+  StateTransfer message;
+  message.configuration_ = TakeBytes(reader, "c");
+  Read(reader, "te", message.tables_end_);
+  const Cbor::array_t records = TakeArray(reader, "rs");
+  for (std::size_t i = 0; i + 1 < records.size(); i += 2) {
+    message.records_.emplace_back(ToBytes(reader, "rs", records[i]),
+                                  ToBytes(reader, "rs", records[i + 1]));
+  }
+  return message;
+}
+
+Suspect ReadSuspect(FieldReader& reader) {
+  Suspect message;
+  Read(reader, "f", message.fingerprint_);
+  Read(reader, "cr", message.crashes_);
+  return message;
+}
+
+}  // namespace
+
+std::string_view ToString(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNone:
+      return "none";
+    case RefusalReason::kFull:
+      return "full";
+    case RefusalReason::kNoUpstream:
+      return "no-upstream";
+    case RefusalReason::kNotOwner:
+      return "not-owner";
+    case RefusalReason::kWrongService:
+      return "wrong-service";
+    case RefusalReason::kSuspect:
+      return "suspect";
+    case RefusalReason::kDeadline:
+      return "deadline";
+  }
+  return "unknown";
+}
+
+std::string EncodeNodeMessage(const NodeMessage& message) {
+  return std::visit([](const auto& body) { return Write(body); }, message);
+}
+
+Result<NodeMessage> DecodeNodeMessage(std::string_view frame) {
+  SASSAFRASBAY_TRY(parsed, ParseFrame(frame));
+  FieldReader reader = ReaderOf(parsed);
+  const auto type = static_cast<Type>(
+      TakeUnsigned(reader, "t", std::numeric_limits<std::uint64_t>::max()));
+  NodeMessage message;
+  switch (type) {
+    case Type::kForwardedRequest:
+      message = ReadForwardedRequest(reader);
+      break;
+    case Type::kForwardedAnswer:
+      message = ReadForwardedAnswer(reader);
+      break;
+    case Type::kCancelForwarded:
+      Read(reader, "n", message.emplace<CancelForwarded>().number_);
+      break;
+    case Type::kNodeReport:
+      message = ReadNodeReport(reader);
+      break;
+    case Type::kStateTransfer:
+      message = ReadStateTransfer(reader);
+      break;
+    case Type::kSuspect:
+      message = ReadSuspect(reader);
+      break;
+    default:
+      return MakeError(Errc::kUnsupportedVersion, kStep, {}, "unknown type");
+  }
+  if (!reader.fault_.empty()) {
+    return FieldError(kStep, reader);
+  }
+  return message;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibRouting/slot_queue.cc
@@ -0,0 +1,134 @@
+#include "LibRouting/slot_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasbay {
+namespace {
+
+/// Weight of a new sample in the smoothed service times.
+constexpr double kSampleWeight = 0.1;
+
+/// Longest wait as a share of the time to the objective. Waiting costs the request the time in which
+/// another upstream could run it, and its caller the time to come back.
+constexpr double kWaitShare = 0.5;
+
+bool RunsBefore(const SlotRequest& left, const SlotRequest& right) {
+  if (left.rank_ != right.rank_) {
+    return left.rank_ < right.rank_;
+  }
+  return left.deadline_ < right.deadline_;
+}
+
+double ServiceTime(const SlotQueue& queue, std::string_view request_class) {
+  const auto found = queue.service_ms_.find(request_class);
+  return found == queue.service_ms_.end() ? 0 : found->second;
+}
+
+double MillisecondsUntil(BootTime time, BootTime now) {
+  return std::chrono::duration<double, std::milli>(time - now).count();
+}
+
+void Smooth(double& value, double sample) {
+  value = value == 0 ? sample : value + kSampleWeight * (sample - value);
+}
+
+bool CanFinish(const SlotQueue& queue, const SlotRequest& request, BootTime now) {
+  return MillisecondsUntil(request.deadline_, now) > ServiceTime(queue, request.class_);
+}
+
+/// Whether the request may wait that long: the answer must come before the deadline, and the wait
+/// must leave most of the time to the objective.
+bool MayWait(const SlotQueue& queue, const SlotRequest& request, double wait_ms, BootTime now) {
+  const double left = MillisecondsUntil(request.deadline_, now);
+  const double to_objective = std::max(0.0, MillisecondsUntil(request.objective_, now));
+  return wait_ms + ServiceTime(queue, request.class_) < left &&
+         wait_ms <= std::max(kWaitShare * to_objective, kWaitShare * 0.5 * left);
+}
+
+}  // namespace
+
+milliseconds ExpectedWait(const SlotQueue& queue, std::size_t ahead) {
+  const double slots = std::max<std::uint32_t>(queue.slots_, 1);
+  return milliseconds(
+      std::llround(queue.mean_service_ms_ * (static_cast<double>(ahead) + 1) / slots));
+}
+
+SlotVerdict OfferRequest(SlotQueue& queue, const SlotRequest& request, BootTime now) {
+  SlotVerdict verdict;
+  if (!CanFinish(queue, request, now) && queue.running_ > 0) {
+    return verdict;
+  }
+  const auto position =
+      std::upper_bound(queue.waiting_.begin(), queue.waiting_.end(), request, RunsBefore);
+  const auto ahead = static_cast<std::size_t>(position - queue.waiting_.begin());
+  if (queue.running_ < queue.slots_ && ahead == 0) {
+    ++queue.running_;
+    verdict.decision_ = SlotDecision::kRun;
+    return verdict;
+  }
+  verdict.expected_wait_ = ExpectedWait(queue, ahead);
+  if (!MayWait(queue, request, static_cast<double>(verdict.expected_wait_.count()), now)) {
+    return verdict;
+  }
+  queue.waiting_.insert(position, request);
+  verdict.decision_ = SlotDecision::kWait;
+  // Those behind the new request wait one turn longer, which may be too long for the last of them.
+  while (!queue.waiting_.empty()) {
+    const SlotRequest& last = queue.waiting_.back();
+    const auto wait = static_cast<double>(ExpectedWait(queue, queue.waiting_.size() - 1).count());
+    if (last.number_ == request.number_ ||
+        wait + ServiceTime(queue, last.class_) < MillisecondsUntil(last.deadline_, now)) {
+      break;
+    }
+    verdict.displaced_.push_back(last);
+    queue.waiting_.pop_back();
+  }
+  return verdict;
+}
+
+void FreeSlot(SlotQueue& queue, std::string_view request_class,
+              std::optional<milliseconds> service) {
+  if (queue.running_ > 0) {
+    --queue.running_;
+  }
+  if (!service) {
+    return;
+  }
+  const double sample = std::max(1.0, static_cast<double>(service->count()));
+  Smooth(queue.mean_service_ms_, sample);
+  Smooth(queue.service_ms_[std::string(request_class)], sample);
+}
+
+std::optional<SlotRequest> TakeWaiting(SlotQueue& queue, BootTime now) {
+  if (queue.running_ >= queue.slots_) {
+    return std::nullopt;
+  }
+  const auto next = std::find_if(
+      queue.waiting_.begin(), queue.waiting_.end(),
+      [&](const SlotRequest& request) { return CanFinish(queue, request, now); });
+  if (next == queue.waiting_.end()) {
+    return std::nullopt;
+  }
+  SlotRequest request = std::move(*next);
+  queue.waiting_.erase(next);
+  ++queue.running_;
+  return request;
+}
+
+std::vector<SlotRequest> TakeHopeless(SlotQueue& queue, BootTime now) {
+  const auto hopeless = std::stable_partition(
+      queue.waiting_.begin(), queue.waiting_.end(),
+      [&](const SlotRequest& request) { return CanFinish(queue, request, now); });
+  std::vector<SlotRequest> taken(hopeless, queue.waiting_.end());
+  queue.waiting_.erase(hopeless, queue.waiting_.end());
+  return taken;
+}
+
+bool RemoveWaiting(SlotQueue& queue, std::uint64_t number) {
+  return std::erase_if(queue.waiting_, [number](const SlotRequest& request) {
+           return request.number_ == number;
+         }) > 0;
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibRouting/traffic_message_codec.cc
+++ b/Libraries/LibRouting/traffic_message_codec.cc
@@ -33,17 +33,6 @@
   value["u"] = unit.unit_;
 }
 
-/// Names and values alternate in one array, which needs no array for each header.
-Cbor HeadersToCbor(const HeaderList& headers) {
-  Cbor::array_t items;
-  items.reserve(headers.size() * 2);
-  for (const auto& [name, value] : headers) {
-    items.push_back(Bytes(name));
-    items.push_back(Bytes(value));
-  }
-  return items;
-}
-
 /// Writes all but the body.
 void WriteAnswer(Cbor& value, const RoutedAnswer& answer) {
   value["o"] = static_cast<std::uint64_t>(answer.outcome_);
@@ -165,20 +154,6 @@
   return unit;
 }
 
-HeaderList ReadHeaders(FieldReader& reader) {
-  Cbor::array_t items = TakeArray(reader, "h");
-  HeaderList headers;
-  headers.reserve(items.size() / 2);
-  if (items.size() % 2 != 0) {
-    NoteFault(reader, "h");
-    return headers;
-  }
-  for (std::size_t i = 0; i < items.size(); i += 2) {
-    headers.emplace_back(ToBytes(reader, "h", items[i]), ToBytes(reader, "h", items[i + 1]));
-  }
-  return headers;
-}
-
 RoutedAnswer ReadAnswerFields(FieldReader& reader) {
   RoutedAnswer answer;
   answer.outcome_ = static_cast<Outcome>(
--- /dev/null
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace sassafrasbay {
+
+/// One upstream that can run a request, as the choosing node sees it.
+struct UpstreamOption {
+  std::string node_;         ///< Peer address of the node beside it.
+  std::uint32_t slots_ = 1;  ///< At least 1.
+  std::uint32_t in_use_ = 0;  ///< Slots in use and waiting requests, own open ones included.
+  bool same_data_centre_ = false;
+  bool failing_ = false;  ///< It failed or rejected most requests of late.
+};
+
+/// Index of the option with the most room; one in the same data centre is preferred while it has
+/// some. Nothing when there are no options. `sample`, uniform in [0, 1), breaks ties.
+std::optional<std::size_t> ChooseUpstream(std::span<const UpstreamOption> options, double sample);
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibTransport/response_reader.cc
@@ -0,0 +1,105 @@
+#include "LibTransport/response_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+#include <utility>
+
+namespace sassafrasbay {
+namespace {
+
+namespace http = boost::beast::http;
+
+using Parser = http::response_parser<http::string_body>;
+
+constexpr std::string_view kStep = "read response";
+constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
+constexpr unsigned kFirstFinalStatus = 200;
+
+Error ParseError(const boost::system::error_code& error) {
+  const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+  return MakeError(too_large ? Errc::kTooLarge : Errc::kMalformed, kStep, {}, error.message());
+}
+
+}  // namespace
+
+struct ResponseReader::Impl {
+  explicit Impl(std::size_t max_body_bytes) : max_body_bytes_(max_body_bytes) { Restart(); }
+
+  void Restart() {
+    parser_ = std::make_unique<Parser>();
+    parser_->eager(true);
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(max_body_bytes_);
+  }
+
+  std::size_t max_body_bytes_;
+  std::unique_ptr<Parser> parser_;
+  std::string pending_;  ///< Bytes of an incomplete header, which the parser takes as a whole.
+  bool started_ = false;
+};
+
+ResponseReader::ResponseReader(std::size_t max_body_bytes)
+    : impl_(std::make_unique<Impl>(max_body_bytes)) {}
+ResponseReader::~ResponseReader() = default;
+ResponseReader::ResponseReader(ResponseReader&&) noexcept = default;
+ResponseReader& ResponseReader::operator=(ResponseReader&&) noexcept = default;
+
+Result<std::size_t> ResponseReader::Receive(std::string_view bytes) {
+  impl_->started_ = impl_->started_ || !bytes.empty();
+  const std::size_t held_back = impl_->pending_.size();
+  impl_->pending_.append(bytes);
+  std::size_t used = 0;
+  while (used < impl_->pending_.size() && !impl_->parser_->is_done()) {
+    boost::system::error_code error;
+    const std::size_t count = impl_->parser_->put(
+        boost::asio::const_buffer(impl_->pending_.data() + used, impl_->pending_.size() - used),
+        error);
+    used += count;
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      return ParseError(error);
+    }
+    // An interim response is followed by the final one.
+    if (impl_->parser_->is_done() && impl_->parser_->get().result_int() < kFirstFinalStatus) {
+      impl_->Restart();
+    }
+  }
+  if (impl_->parser_->is_done()) {
+    impl_->pending_.clear();
+    return used - std::min(used, held_back);
+  }
+  impl_->pending_.erase(0, used);
+  return bytes.size();
+}
+
+Result<void> ResponseReader::ReceiveEnd() {
+  boost::system::error_code error;
+  impl_->parser_->put_eof(error);
+  if (error || !impl_->parser_->is_done()) {
+    return MakeError(Errc::kConnectionLost, kStep, {}, "connection closed before the end");
+  }
+  return boost::outcome_v2::success();
+}
+
+bool ResponseReader::IsComplete() const { return impl_->parser_->is_done(); }
+
+bool ResponseReader::HasStarted() const { return impl_->started_; }
+
+bool ResponseReader::KeepsConnection() const { return impl_->parser_->get().keep_alive(); }
+
+HttpResponse ResponseReader::TakeResponse() {
+  auto message = impl_->parser_->release();
+  HttpResponse response;
+  response.status_ = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  response.body_ = std::move(message.body());
+  return response;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibTransport/response_reader.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+#include "LibCore/error.h"
+#include "LibCore/http_message.h"
+
+namespace sassafrasbay {
+
+/// Parses one HTTP/1.1 response from the bytes of a connection.
+class ResponseReader {
+ public:
+  explicit ResponseReader(std::size_t max_body_bytes);
+  ~ResponseReader();
+  ResponseReader(ResponseReader&&) noexcept;
+  ResponseReader& operator=(ResponseReader&&) noexcept;
+
+  /// Takes bytes and returns how many of them belong to this response. Errors: kMalformed,
+  /// kTooLarge.
+  Result<std::size_t> Receive(std::string_view bytes);
+
+  /// The connection has ended in order. Completes a response without a length. Errors:
+  /// kConnectionLost when the response is incomplete.
+  Result<void> ReceiveEnd();
+
+  bool IsComplete() const;
+  bool HasStarted() const;   ///< Some byte has been received.
+  bool KeepsConnection() const;  ///< Another request may follow on the connection.
+
+  HttpResponse TakeResponse();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -0,0 +1,404 @@
+#include "LibTransport/upstream_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "LibTransport/response_reader.h"
+#include "LibTransport/tcp_socket.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr unsigned kReadBit = static_cast<unsigned>(Readiness::kRead);
+constexpr unsigned kWriteBit = static_cast<unsigned>(Readiness::kWrite);
+constexpr std::size_t kReadBytes = 64U << 10U;
+
+/// Idle time after which a connection isn't used again when the upstream states no limit.
+constexpr milliseconds kDefaultIdle{5000};
+
+/// A connection is given up this long before the upstream would close it. A request that crosses
+/// the close would be lost without a trace of whether it ran.
+constexpr milliseconds kIdleMargin{1000};
+
+/// Time for which sent bytes may stay unacknowledged before the connection counts as dead.
+constexpr milliseconds kUnacknowledgedLimit{2000};
+
+struct Connection {
+  int socket_ = -1;
+  bool connecting_ = true;
+  bool closed_ = false;
+  UpstreamClient::CallId call_ = 0;  ///< 0 while idle.
+  std::string output_;
+  std::size_t sent_ = 0;
+  std::optional<ResponseReader> reader_;
+  BootTime usable_until_{};
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+struct OpenCall {
+  UpstreamCall call_;
+  UpstreamClient::Callback callback_;
+  std::string expected_echo_;
+  ConnectionPointer connection_;
+  ReactorLoop::TimerId timer_ = 0;
+};
+
+std::string Serialize(const HttpRequest& request) {
+  std::string text = request.method_ + " " + request.path_ + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : request.headers_) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  // An empty body needs no length with methods that have no body as a rule.
+  if (!request.body_.empty() || (request.method_ != "GET" && request.method_ != "HEAD")) {
+    text += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += request.body_;
+  return text;
+}
+
+/// The time in "timeout=N" of a Keep-Alive header, in seconds.
+milliseconds IdleLimit(const HttpResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view header = FindHeader(response.headers_, "Keep-Alive");
+  const std::size_t position = header.find(kTimeout);
+  if (position == std::string_view::npos) {
+    return kDefaultIdle;
+  }
+  const std::string_view digits = header.substr(position + kTimeout.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::max(milliseconds(0), milliseconds(seconds * 1000LL) - kIdleMargin);
+}
+
+void LimitUnacknowledged(int socket) {
+  const auto limit = static_cast<unsigned>(kUnacknowledgedLimit.count());
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
+}  // namespace
+
+struct UpstreamClient::Impl {
+  explicit Impl(ReactorLoop& loop) : loop_(loop), buffer_(kReadBytes) {}
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  CallId Start(UpstreamCall call, Callback callback);
+  ConnectionPointer TakeIdle();
+  ConnectionPointer Open(CallId id);
+  void Watch(const ConnectionPointer& connection);
+  void OnReady(const ConnectionPointer& connection, unsigned ready);
+  void OnConnected(const ConnectionPointer& connection);
+  bool Flush(const ConnectionPointer& connection);
+  void Read(const ConnectionPointer& connection);
+  void Receive(const ConnectionPointer& connection, std::string_view bytes);
+  void OnResponse(const ConnectionPointer& connection, bool extra_bytes);
+  void Fail(const ConnectionPointer& connection, Error error, bool refused = false);
+  void Finish(CallId id, UpstreamResult result);
+  void Close(const ConnectionPointer& connection);
+  void CloseIdle();
+
+  ReactorLoop& loop_;
+  std::string address_;
+  std::unordered_map<CallId, OpenCall> calls_;
+  std::vector<ConnectionPointer> idle_;  ///< The most recently used last.
+  std::vector<char> buffer_;
+  CallId last_id_ = 0;
+  UpstreamClientCounts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
+};
+
+UpstreamClient::Impl::~Impl() {
+  *alive_ = false;
+  CloseIdle();
+  for (const auto& [id, call] : std::exchange(calls_, {})) {
+    loop_.CancelTimer(call.timer_);
+    if (call.connection_ != nullptr) {
+      Close(call.connection_);
+    }
+  }
+}
+
+UpstreamClient::CallId UpstreamClient::Impl::Start(UpstreamCall call, Callback callback) {
+  const CallId id = ++last_id_;
+  OpenCall& open = calls_[id];
+  open.expected_echo_ = FindHeader(call.request_.headers_, call.echoed_header_);
+  open.call_ = std::move(call);
+  open.callback_ = std::move(callback);
+  open.timer_ = loop_.StartTimer(open.call_.timeout_, [this, id] {
+    const ConnectionPointer connection = calls_.at(id).connection_;
+    const Error error = MakeError(Errc::kTimedOut, "call upstream", address_, {});
+    if (connection != nullptr) {
+      Fail(connection, error);
+    } else {
+      Finish(id, {error, false, false});
+    }
+  });
+  ConnectionPointer connection = TakeIdle();
+  if (connection == nullptr) {
+    connection = Open(id);
+  }
+  if (connection == nullptr) {
+    return id;
+  }
+  open.connection_ = connection;
+  connection->call_ = id;
+  connection->output_ = Serialize(open.call_.request_);
+  connection->sent_ = 0;
+  connection->reader_.emplace(open.call_.max_response_bytes_);
+  if (!connection->connecting_) {
+    // Later, so that a failure doesn't run the callback inside Start.
+    loop_.Post([this, alive = alive_, connection, id] {
+      if (*alive && !connection->closed_ && connection->call_ == id) {
+        Flush(connection);
+      }
+    });
+  }
+  return id;
+}
+
+ConnectionPointer UpstreamClient::Impl::TakeIdle() {
+  const BootTime now = BootClock::now();
+  while (!idle_.empty()) {
+    const ConnectionPointer connection = idle_.back();
+    idle_.pop_back();
+    // Bytes or an end that have arrived meanwhile make the connection useless.
+    char byte = 0;
+    const ssize_t count = recv(connection->socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (now < connection->usable_until_ && count < 0 && errno == EAGAIN) {
+      ++counts_.requests_on_kept_connections_;
+      return connection;
+    }
+    counts_.stray_bytes_ += count > 0 ? 1 : 0;
+    Close(connection);
+  }
+  return nullptr;
+}
+
+ConnectionPointer UpstreamClient::Impl::Open(CallId id) {
+  const Result<int> socket = OpenConnectingSocket(address_);
+  if (!socket) {
+    loop_.Post([this, alive = alive_, id, error = socket.error()] {
+      if (*alive) {
+        const bool refused =
+            error.code_ == std::error_code(ECONNREFUSED, std::generic_category());
+        Finish(id, {error, false, refused});
+      }
+    });
+    return nullptr;
+  }
+  ++counts_.connections_opened_;
+  auto connection = std::make_shared<Connection>();
+  connection->socket_ = socket.value();
+  SetNoDelay(connection->socket_);
+  LimitUnacknowledged(connection->socket_);
+  Watch(connection);
+  return connection;
+}
+
+void UpstreamClient::Impl::Watch(const ConnectionPointer& connection) {
+  const bool write =
+      connection->connecting_ || connection->sent_ < connection->output_.size();
+  const Result<void> watched =
+      loop_.Watch(connection->socket_, write ? kReadBit | kWriteBit : kReadBit,
+                  [this, connection](unsigned ready) { OnReady(connection, ready); });
+  // A connection that can't be watched ends with the time-out of its call.
+  static_cast<void>(watched);
+}
+
+void UpstreamClient::Impl::OnReady(const ConnectionPointer& connection, unsigned ready) {
+  if (connection->connecting_) {
+    OnConnected(connection);
+    return;
+  }
+  if ((ready & kWriteBit) != 0 && !Flush(connection)) {
+    return;
+  }
+  if ((ready & kReadBit) != 0 && !connection->closed_) {
+    Read(connection);
+  }
+}
+
+void UpstreamClient::Impl::OnConnected(const ConnectionPointer& connection) {
+  int number = 0;
+  socklen_t length = sizeof(number);
+  getsockopt(connection->socket_, SOL_SOCKET, SO_ERROR, &number, &length);
+  if (number != 0) {
+    Fail(connection, SystemError(number, "connect to upstream", address_),
+         number == ECONNREFUSED);
+    return;
+  }
+  connection->connecting_ = false;
+  if (Flush(connection)) {
+    Watch(connection);
+  }
+}
+
+// False when the connection has failed.
+bool UpstreamClient::Impl::Flush(const ConnectionPointer& connection) {
+  const std::string& output = connection->output_;
+  const bool had_backlog = connection->sent_ > 0;
+  while (connection->sent_ < output.size()) {
+    const ssize_t count = send(connection->socket_, output.data() + connection->sent_,
+                               output.size() - connection->sent_, MSG_NOSIGNAL);
+    if (count >= 0) {
+      connection->sent_ += static_cast<std::size_t>(count);
+    } else if (errno == EAGAIN) {
+      Watch(connection);
+      return true;
+    } else if (errno != EINTR) {
+      Fail(connection, SystemError(errno, "send to upstream", address_));
+      return false;
+    }
+  }
+  if (had_backlog) {
+    Watch(connection);
+  }
+  return true;
+}
+
+void UpstreamClient::Impl::Read(const ConnectionPointer& connection) {
+  const ssize_t count = recv(connection->socket_, buffer_.data(), buffer_.size(), 0);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    return;
+  }
+  if (connection->call_ == 0) {
+    // An idle connection that ends, or brings bytes that belong to no request.
+    counts_.stray_bytes_ += count > 0 ? 1 : 0;
+    std::erase(idle_, connection);
+    Close(connection);
+    return;
+  }
+  if (count < 0) {
+    Fail(connection, SystemError(errno, "read from upstream", address_));
+    return;
+  }
+  if (count > 0) {
+    Receive(connection, std::string_view(buffer_.data(), static_cast<std::size_t>(count)));
+    return;
+  }
+  if (auto ended = connection->reader_->ReceiveEnd(); !ended) {
+    Fail(connection, ended.error());
+    return;
+  }
+  OnResponse(connection, true);
+}
+
+void UpstreamClient::Impl::Receive(const ConnectionPointer& connection, std::string_view bytes) {
+  const Result<std::size_t> used = connection->reader_->Receive(bytes);
+  if (!used) {
+    Fail(connection, used.error());
+    return;
+  }
+  if (connection->reader_->IsComplete()) {
+    OnResponse(connection, used.value() < bytes.size());
+  }
+}
+
+void UpstreamClient::Impl::OnResponse(const ConnectionPointer& connection, bool extra_bytes) {
+  const CallId id = connection->call_;
+  OpenCall& open = calls_.at(id);
+  const bool keeps = connection->reader_->KeepsConnection() && !extra_bytes &&
+                     connection->sent_ == connection->output_.size();
+  HttpResponse response = connection->reader_->TakeResponse();
+  if (!open.call_.echoed_header_.empty() &&
+      FindHeader(response.headers_, open.call_.echoed_header_) != open.expected_echo_) {
+    ++counts_.stray_bytes_;
+    Fail(connection, MakeError(Errc::kMalformed, "read from upstream", address_,
+                               "the response belongs to another request"));
+    return;
+  }
+  connection->call_ = 0;
+  connection->reader_.reset();
+  if (keeps) {
+    connection->usable_until_ = BootClock::now() + IdleLimit(response);
+    idle_.push_back(connection);
+  } else {
+    Close(connection);
+  }
+  Finish(id, {std::move(response), true, false});
+}
+
+void UpstreamClient::Impl::Fail(const ConnectionPointer& connection, Error error, bool refused) {
+  if (connection->closed_) {
+    return;
+  }
+  const CallId id = std::exchange(connection->call_, 0);
+  const bool maybe_sent = !connection->connecting_ && connection->sent_ > 0;
+  Close(connection);
+  if (id != 0) {
+    Finish(id, {std::move(error), maybe_sent, refused});
+  }
+}
+
+void UpstreamClient::Impl::Finish(CallId id, UpstreamResult result) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  OpenCall open = std::move(found->second);
+  calls_.erase(found);
+  loop_.CancelTimer(open.timer_);
+  open.callback_(std::move(result));
+}
+
+void UpstreamClient::Impl::Close(const ConnectionPointer& connection) {
+  if (connection->closed_) {
+    return;
+  }
+  connection->closed_ = true;
+  loop_.Unwatch(connection->socket_);
+  close(std::exchange(connection->socket_, -1));
+}
+
+void UpstreamClient::Impl::CloseIdle() {
+  for (const ConnectionPointer& connection : std::exchange(idle_, {})) {
+    Close(connection);
+  }
+}
+
+UpstreamClient::UpstreamClient(ReactorLoop& loop) : impl_(std::make_unique<Impl>(loop)) {}
+UpstreamClient::~UpstreamClient() = default;
+
+void UpstreamClient::SetAddress(std::string_view address) {
+  if (impl_->address_ != address) {
+    impl_->address_ = address;
+    impl_->CloseIdle();
+  }
+}
+
+UpstreamClient::CallId UpstreamClient::Start(UpstreamCall call, Callback callback) {
+  return impl_->Start(std::move(call), std::move(callback));
+}
+
+void UpstreamClient::Cancel(CallId call) {
+  const auto found = impl_->calls_.find(call);
+  if (found == impl_->calls_.end()) {
+    return;
+  }
+  const OpenCall open = std::move(found->second);
+  impl_->calls_.erase(found);
+  impl_->loop_.CancelTimer(open.timer_);
+  if (open.connection_ != nullptr) {
+    open.connection_->call_ = 0;
+    impl_->Close(open.connection_);
+  }
+}
+
+UpstreamClientCounts UpstreamClient::Counts() const { return impl_->counts_; }
+
+}  // namespace sassafrasbay
--- a/Services/sassafrasbay/commands.h
+++ b/Services/sassafrasbay/commands.h
@@ -16,6 +16,7 @@
 
 /// Each takes the arguments after the subcommand's name, for popt: arguments[0] is the name.
 ExitCode RunNodeCommand(std::span<const char*> arguments);
+ExitCode RunSidecarCommand(std::span<const char*> arguments);
 ExitCode RunCheckCommand(std::span<const char*> arguments);
 ExitCode RunPublishCommand(std::span<const char*> arguments);
 ExitCode RunStatusCommand(std::span<const char*> arguments);
--- a/Services/sassafrasbay/main.cc
+++ b/Services/sassafrasbay/main.cc
@@ -14,11 +14,12 @@
   ExitCode (*run_)(std::span<const char*> arguments);
 };
 
-constexpr std::array<Command, 5> kCommands = {{
+constexpr std::array<Command, 6> kCommands = {{
     {"node", "runs a node beside an upstream", &sassafrasbay::RunNodeCommand},
     {"check", "checks settings and routing files", &sassafrasbay::RunCheckCommand},
     {"publish", "publishes routing files through the log", &sassafrasbay::RunPublishCommand},
     {"status", "shows what a node knows", &sassafrasbay::RunStatusCommand},
+    {"sidecar", "runs a node on the users' platform", &sassafrasbay::RunSidecarCommand},
     {"explain", "shows who owns a key", &sassafrasbay::RunExplainCommand},
 }};
 
--- /dev/null
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -0,0 +1,454 @@
+#include "router/control_thread.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibCore/hash.h"
+#include "LibCore/logging.h"
+#include "LibOwnership/key_table_codec.h"
+#include "platform/configuration_decoder.h"
+#include "platform/heartbeat_codec.h"
+#include "platform/wire_names.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "control";
+
+/// Two long reads, one write and a spare.
+constexpr int kStoreConnections = 8;
+
+/// Interval of decisions that no event triggers, such as the end of a wait.
+constexpr milliseconds kDecisionInterval{100};
+
+/// The answer to a heartbeat may be this late while a range is about to arrive: an upstream takes an
+/// answer up to a second late, and sooner than with its next heartbeat.
+constexpr milliseconds kLongestHold{700};
+
+/// The tables count as read from the store when they were confirmed this recently by it.
+constexpr milliseconds kStoreFreshness{2000};
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+HttpResponse JsonResponse(std::string body) {
+  return {kOk, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+std::int64_t ToNanoseconds(BootTime time) { return time.time_since_epoch().count(); }
+
+BootTime FromNanoseconds(std::int64_t value) { return BootTime(BootTime::duration(value)); }
+
+}  // namespace
+
+ControlThread::ControlThread(RouterShared& shared)
+    : shared_(shared),
+      client_(loop_, kStoreConnections),
+      store_(client_, shared.environment_.store_),
+      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic),
+                      {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
+                       [](BootTime) {}, [](bool) {}}),
+      fleet_topic_(loop_, store_, std::string(kFleetTopic),
+                   {[this](const KeyedRecord& record) { OnFleetRecord(record); },
+                    [this](BootTime asked) { OnTablesCurrent(asked); },
+                    [this](bool reached) { shared_.reaches_store_ = reached; }}),
+      keeper_(loop_, store_),
+      life_(RandomId()) {
+  registry_.self_ = shared_.self_;
+}
+
+Result<void> ControlThread::Open(RouterTrafficCalls traffic) {
+  traffic_ = std::move(traffic);
+  started_ = BootClock::now();
+  const platform::ListenAddress& address = shared_.environment_.heartbeats_;
+  auto server = HttpServerBuilder(loop_)
+                    .Listen(address.host_, address.port_)
+                    .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
+                      OnInstanceCall(exchange);
+                    })
+                    .Build();
+  if (!server) {
+    return server.error();
+  }
+  heartbeats_ = std::move(server.value());
+  operator_topic_.Start();
+  fleet_topic_.Start();
+  loop_.StartRepeatingTimer(kDecisionInterval, [this] {
+    Decide();
+    AnswerHeldBeats();
+  });
+  return boost::outcome_v2::success();
+}
+
+RouterControlCalls ControlThread::Calls() {
+  RouterControlCalls calls;
+  calls.report_received_ = [this](PeerFacts facts) {
+    loop_.Post([this, facts = std::move(facts)] { OnReport(facts); });
+  };
+  calls.state_received_ = [this](StateTransfer state) {
+    loop_.Post([this, state = std::move(state)] { OnState(state); });
+  };
+  calls.upstream_refused_ = [this] {
+    loop_.Post([this] {
+      if (NoteRefusal(registry_, BootClock::now(), shared_.environment_.heartbeat_interval_)) {
+        LogInfo(kPart, "upstream=" + registry_.own_.holder_->instance_ +
+                           " refuses connections and sends no heartbeats; it is gone.");
+        ScheduleUpdate();
+      }
+    });
+  };
+  return calls;
+}
+
+void ControlThread::OnOperatorRecord(const KeyedRecord& record) {
+  if (record.key_ == platform::kConfigurationKey && !record.value_.empty()) {
+    ApplyConfiguration(record.value_, "store");
+  }
+}
+
+void ControlThread::ApplyConfiguration(std::string_view text, std::string_view source) {
+  auto routes = platform::DecodeConfiguration(text);
+  if (!routes) {
+    LogWarning(kPart, "configuration ignored reason=\"" + ToString(routes.error()) + "\".");
+    return;
+  }
+  const std::uint64_t version = routes.value().version_;
+  if (routes_ != nullptr && version <= routes_->version_) {
+    return;
+  }
+  LogInfo(kPart, "configuration version=" + std::to_string(version) + " from=" +
+                     std::to_string(routes_ == nullptr ? 0 : routes_->version_) +
+                     " source=" + std::string(source) + " is in force.");
+  routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
+  configuration_text_ = text;
+  ScheduleUpdate();
+}
+
+void ControlThread::OnFleetRecord(const KeyedRecord& record) {
+  if (record.value_.empty()) {
+    records_.erase(record.key_);
+    members_.erase(record.key_.substr(std::min(kNodePrefix.size(), record.key_.size())));
+    ScheduleUpdate();
+    return;
+  }
+  if (record.key_.starts_with(kTablePrefix)) {
+    auto table = DecodeKeyTable(record.value_);
+    if (!table) {
+      LogWarning(kPart, "key table ignored reason=\"" + ToString(table.error()) + "\".");
+      return;
+    }
+    KeyTable& known = tables_[table.value().service_];
+    if (table.value().version_ <= known.version_) {
+      return;
+    }
+    keeper_.OnTable(known, table.value(), BootClock::now());
+    known = std::move(table.value());
+  } else if (record.key_.starts_with(kNodePrefix)) {
+    const nlohmann::json value = nlohmann::json::parse(record.value_, nullptr, false);
+    if (!value.is_object() || !value.contains("data_centre") || !value.contains("life")) {
+      LogWarning(kPart, "node record ignored key=" + record.key_ + ".");
+      return;
+    }
+    const std::string address = record.key_.substr(kNodePrefix.size());
+    registered_ = registered_ || (address == shared_.self_ && value["life"] == life_);
+    members_[address] = {address, value["data_centre"].get<std::string>()};
+  }
+  records_[record.key_] = record.value_;
+  ScheduleUpdate();
+}
+
+// Appends that an earlier process of this node sent, and whose effect it never learnt, depend on the
+// end of the topic. The registration moves that end, so once it is read back none of them can take
+// effect any more.
+void ControlThread::Register() {
+  if (registered_ || registering_ || !fleet_topic_.IsCurrent() || !fleet_topic_.IsReached()) {
+    return;
+  }
+  registering_ = true;
+  const nlohmann::json value = {{"data_centre", shared_.environment_.data_centre_},
+                                {"life", life_}};
+  store_.Append(kFleetTopic, {0, std::string(kNodePrefix) + shared_.self_, value.dump()},
+                std::nullopt, [this](const Result<std::uint64_t>& offset) {
+                  if (offset) {
+                    return;  // The follower reads it back.
+                  }
+                  registering_ = false;
+                  LogWarning(kPart, "registration not written reason=\"" +
+                                        ToString(offset.error()) + "\".");
+                });
+}
+
+void ControlThread::OnTablesCurrent(BootTime asked) {
+  ConfirmTables(asked);
+  Register();
+  ScheduleUpdate();
+}
+
+void ControlThread::ConfirmTables(BootTime since) {
+  const std::int64_t value = ToNanoseconds(since);
+  if (value > shared_.tables_confirmed_ns_) {
+    shared_.tables_confirmed_ns_ = value;
+  }
+}
+
+// The echoed clock is this node's, so the report was made after that moment, whatever the delays on
+// the way; the sender's tables were the newest at that moment less the age that it states.
+void ControlThread::OnReport(PeerFacts facts) {
+  const NodeReport& report = facts.report_;
+  if (report.tables_known_ && report.echoed_clock_ms_ > 0 &&
+      report.tables_end_ == fleet_topic_.End()) {
+    const auto since = static_cast<std::int64_t>(report.echoed_clock_ms_) -
+                       static_cast<std::int64_t>(report.tables_age_ms_);
+    ConfirmTables(BootTime(milliseconds(since)));
+  }
+  if (report.tables_end_ > fleet_topic_.End() && fleet_topic_.IsReached()) {
+    fleet_topic_.ReadNow();
+  }
+  if (routes_ != nullptr && report.configuration_version_ > routes_->version_ &&
+      operator_topic_.IsReached()) {
+    operator_topic_.ReadNow();
+  }
+  const std::string address = report.address_;
+  const auto known = peers_.find(address);
+  const bool news =
+      known == peers_.end() ||
+      known->second.report_.upstream_.instance_ != report.upstream_.instance_ ||
+      known->second.report_.upstream_.takes_keys_ != report.upstream_.takes_keys_;
+  peers_[address] = std::move(facts);
+  if (news) {
+    ScheduleUpdate();
+  }
+}
+
+void ControlThread::OnState(const StateTransfer& state) {
+  if (!state.configuration_.empty()) {
+    ApplyConfiguration(state.configuration_, "peer");
+  }
+  if (state.tables_end_ <= fleet_topic_.End()) {
+    return;
+  }
+  LogInfo(kPart, "tables end=" + std::to_string(state.tables_end_) +
+                     " from=" + std::to_string(fleet_topic_.End()) + " source=peer.");
+  for (const auto& [key, value] : state.records_) {
+    OnFleetRecord({0, key, value});
+  }
+  fleet_topic_.SkipTo(state.tables_end_);
+}
+
+void ControlThread::OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange) {
+  const auto call = platform::ParseInstancePath(exchange->Request().path_);
+  if (!call || exchange->Request().method_ != "POST") {
+    exchange->Respond({kNotFound, {}, "no such call\n"});
+    return;
+  }
+  if (call->leaves_) {
+    OnLeave(call->instance_);
+    exchange->Respond(JsonResponse("{}"));
+    return;
+  }
+  OnHeartbeat(exchange, call->instance_);
+}
+
+void ControlThread::OnLeave(std::string_view instance) {
+  const bool current = NoteLeave(registry_, instance);
+  LogInfo(kPart, "upstream=" + std::string(instance) +
+                     " leaves current=" + (current ? "true." : "false."));
+  // Published before the acknowledgement leaves, so that no later request is sent.
+  Publish();
+  ScheduleUpdate();
+}
+
+void ControlThread::OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange,
+                                std::string_view instance) {
+  auto heartbeat = platform::DecodeHeartbeat(instance, exchange->Request().body_);
+  if (!heartbeat) {
+    shared_.metrics_.Count("sassafrasbay_heartbeats_rejected_total");
+    LogWarning(kPart, "heartbeat ignored reason=\"" + ToString(heartbeat.error()) + "\".");
+    exchange->Respond({kBadRequest, {}, ToString(heartbeat.error()) + "\n"});
+    return;
+  }
+  const BootTime now = BootClock::now();
+  const UpstreamHeartbeat copy = heartbeat.value();
+  const HeartbeatNews news = NoteHeartbeat(registry_, std::move(heartbeat.value()), now);
+  if (news == HeartbeatNews::kOutdated) {
+    LogInfo(kPart, "upstream=" + copy.instance_ + " born_ms=" + std::to_string(copy.born_ms_) +
+                       " sequence=" + std::to_string(copy.sequence_) +
+                       " heartbeat is outdated; it renews nothing.");
+    exchange->Respond(JsonResponse("{}"));
+    return;
+  }
+  if (news == HeartbeatNews::kNewIncarnation || copy.draining_) {
+    LogInfo(kPart, "upstream=" + copy.instance_ + " born_ms=" + std::to_string(copy.born_ms_) +
+                       " service=" + copy.service_ + " slots=" + std::to_string(copy.slots_) +
+                       (copy.draining_ ? " state=draining." : " state=ready."));
+  }
+  if (news != HeartbeatNews::kSame) {
+    Publish();
+    Decide();
+  }
+  held_beats_.push_back({exchange, now});
+  AnswerHeldBeats();
+}
+
+const KeyTable* ControlThread::OwnTable() const {
+  if (!registry_.newest_) {
+    return nullptr;
+  }
+  const auto table = tables_.find(registry_.newest_->service_);
+  return table == tables_.end() ? nullptr : &table->second;
+}
+
+// Waiting pays when the ranges are about to change in the upstream's favour.
+bool ControlThread::ShouldHold(BootTime now) const {
+  const KeyTable* table = OwnTable();
+  if (table == nullptr || !registry_.own_.holder_ || registry_.own_.left_) {
+    return false;
+  }
+  static_cast<void>(now);
+  return std::any_of(table->ranges_.begin(), table->ranges_.end(), [&](const KeyRange& range) {
+    if (!range.successor_) {
+      return false;
+    }
+    const bool arrives = range.planned_ && *range.successor_ == *registry_.own_.holder_;
+    const bool disputed = !range.planned_ && range.owner_ == *registry_.own_.holder_;
+    return arrives || disputed;
+  });
+}
+
+HeartbeatAnswer ControlThread::MakeAnswer(BootTime now) const {
+  HeartbeatAnswer answer;
+  const KeyTable* table = OwnTable();
+  if (table == nullptr || !registered_ || registry_.own_.left_) {
+    return answer;
+  }
+  const Holder& holder = *registry_.own_.holder_;
+  const OwnershipView view = MakeView(table->service_);
+  if (keeper_.MayLoseRanges(holder, fleet_topic_.End()) ||
+      (HasUnplannedSuccessor(*table, holder) && !IsIsolated(view))) {
+    return answer;
+  }
+  answer.length_ = GrantLength(FromNanoseconds(shared_.tables_confirmed_ns_), now,
+                               shared_.environment_.longest_grant_);
+  if (answer.length_) {
+    answer.ranges_ = RangesToGrant(*table, holder);
+  }
+  return answer;
+}
+
+void ControlThread::AnswerHeldBeats() {
+  if (held_beats_.empty()) {
+    return;
+  }
+  const BootTime now = BootClock::now();
+  const bool overdue = now - held_beats_.front().received_ > kLongestHold;
+  if (ShouldHold(now) && !overdue) {
+    return;
+  }
+  // Only the newest heartbeat is answered with a grant; an older one has been given up.
+  const HeartbeatAnswer answer = MakeAnswer(now);
+  const bool granted = answer.length_.has_value();
+  NoteGrant(registry_, answer, now);
+  for (std::size_t i = 0; i < held_beats_.size(); ++i) {
+    const bool newest = i + 1 == held_beats_.size();
+    held_beats_[i].exchange_->Respond(
+        JsonResponse(newest ? platform::EncodeHeartbeatAnswer(answer) : "{}"));
+  }
+  held_beats_.clear();
+  if (granted) {
+    Publish();
+  }
+}
+
+OwnershipView ControlThread::MakeView(const std::string& service) const {
+  OwnershipView view;
+  view.self_ = shared_.self_;
+  view.now_ = BootClock::now();
+  view.started_ = started_;
+  const BootTime confirmed = FromNanoseconds(shared_.tables_confirmed_ns_);
+  view.reaches_store_ = registered_ && fleet_topic_.IsReached() &&
+                        view.now_ - confirmed < kStoreFreshness;
+  if (registry_.newest_ && registry_.newest_->service_ == service) {
+    view.own_ = registry_.own_;
+  }
+  view.known_nodes_ = std::max<std::size_t>(1, members_.size());
+  view.reachable_nodes_ = 1;
+  for (const auto& [address, member] : members_) {
+    if (address == shared_.self_) {
+      continue;
+    }
+    NodeView node;
+    node.address_ = address;
+    if (const auto peer = peers_.find(address); peer != peers_.end()) {
+      const NodeReport& report = peer->second.report_;
+      node.last_heard_ = peer->second.received_;
+      node.reaches_store_ = report.reaches_store_;
+      if (report.upstream_.service_ == service && report.upstream_.takes_keys_) {
+        const Holder holder{address, report.upstream_.instance_, report.upstream_.born_ms_};
+        node.upstream_ = Candidate{holder, std::max<std::uint32_t>(report.load_.slots_, 1)};
+      }
+    }
+    view.reachable_nodes_ += view.now_ - node.last_heard_ < kSuspectAfter ? 1 : 0;
+    view.nodes_.push_back(std::move(node));
+  }
+  return view;
+}
+
+void ControlThread::Decide() {
+  if (routes_ == nullptr || !registered_) {
+    return;
+  }
+  for (const auto& [name, service] : routes_->services_) {
+    if (!service.sharded_) {
+      continue;
+    }
+    KeyTable& table = tables_[name];
+    table.service_ = name;
+    keeper_.Decide(table, fleet_topic_.End(), MakeView(name));
+  }
+}
+
+void ControlThread::ScheduleUpdate() {
+  if (update_posted_) {
+    return;
+  }
+  update_posted_ = true;
+  loop_.Post([this] {
+    update_posted_ = false;
+    Decide();
+    AnswerHeldBeats();
+    Publish();
+  });
+}
+
+void ControlThread::Publish() {
+  auto snapshot = std::make_shared<RouterSnapshot>();
+  snapshot->routes_ = routes_;
+  snapshot->configuration_text_ = configuration_text_;
+  snapshot->tables_ = std::make_shared<const std::map<std::string, KeyTable>>(tables_);
+  snapshot->tables_end_ = fleet_topic_.End();
+  snapshot->records_.assign(records_.begin(), records_.end());
+  for (const auto& [address, member] : members_) {
+    if (address != shared_.self_) {
+      snapshot->members_.push_back(member);
+    }
+  }
+  if (registry_.newest_) {
+    const OwnUpstream& own = registry_.own_;
+    auto upstream = std::make_shared<UpstreamState>();
+    upstream->holder_ = *own.holder_;
+    upstream->service_ = registry_.newest_->service_;
+    upstream->address_ = shared_.environment_.upstream_;
+    upstream->slots_ = own.slots_;
+    upstream->takes_requests_ = !own.draining_ && !own.left_ && !own.gone_;
+    for (const HeldRange& range : registry_.last_grant_) {
+      upstream->granted_.push_back(range.keys_);
+    }
+    upstream->granted_until_ = own.granted_until_;
+    snapshot->upstream_ = std::move(upstream);
+  }
+  traffic_.snapshot_published_(std::move(snapshot));
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibTransport/http_client.h"
+#include "LibTransport/http_server.h"
+#include "LibTransport/reactor_loop.h"
+#include "platform/store_client.h"
+#include "router/ownership_keeper.h"
+#include "router/router_state.h"
+#include "router/topic_follower.h"
+#include "router/upstream_registry.h"
+
+namespace sassafrasbay {
+
+/// Configuration, nodes, key ownership and the upstream's heartbeats.
+class ControlThread {
+ public:
+  explicit ControlThread(RouterShared& shared);
+  ControlThread(const ControlThread&) = delete;
+  ControlThread& operator=(const ControlThread&) = delete;
+
+  /// Opens the address for heartbeats. Errors: those of the socket.
+  Result<void> Open(RouterTrafficCalls traffic);
+
+  /// Calls that the traffic thread may make.
+  RouterControlCalls Calls();
+
+  void Run() { loop_.Run(); }
+  void Stop() { loop_.Stop(); }
+
+ private:
+  /// A heartbeat whose answer waits for the end of a change of its ranges.
+  struct HeldBeat {
+    std::shared_ptr<HttpExchange> exchange_;
+    BootTime received_{};
+  };
+
+  void OnOperatorRecord(const KeyedRecord& record);
+  void ApplyConfiguration(std::string_view text, std::string_view source);
+  void OnFleetRecord(const KeyedRecord& record);
+  void OnTablesCurrent(BootTime asked);
+  void ConfirmTables(BootTime since);
+  void OnReport(PeerFacts facts);
+  void OnState(const StateTransfer& state);
+  void OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange);
+  void OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange, std::string_view instance);
+  void OnLeave(std::string_view instance);
+  void AnswerHeldBeats();
+  HeartbeatAnswer MakeAnswer(BootTime now) const;
+  bool ShouldHold(BootTime now) const;
+  const KeyTable* OwnTable() const;
+  OwnershipView MakeView(const std::string& service) const;
+  void Decide();
+  void Register();
+  void Publish();
+  void ScheduleUpdate();
+
+  RouterShared& shared_;
+  ReactorLoop loop_;
+  HttpClient client_;
+  platform::StoreClient store_;
+  TopicFollower operator_topic_;
+  TopicFollower fleet_topic_;
+  OwnershipKeeper keeper_;
+  std::unique_ptr<HttpServer> heartbeats_;
+  RouterTrafficCalls traffic_;
+
+  std::string life_;  ///< Random id of this process in its registration.
+  bool registered_ = false;  ///< The registration of this process has been read back.
+  bool registering_ = false;
+  BootTime started_{};
+  std::shared_ptr<const RouteTable> routes_;
+  std::string configuration_text_;
+  std::map<std::string, KeyTable> tables_;
+  std::map<std::string, Member> members_;  ///< By peer address.
+  std::map<std::string, std::string> records_;
+  std::map<std::string, PeerFacts> peers_;  ///< Newest report by peer address.
+  UpstreamRegistry registry_;
+  std::vector<HeldBeat> held_beats_;
+  bool update_posted_ = false;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -0,0 +1,89 @@
+#include "router/ownership_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/logging.h"
+#include "LibOwnership/key_table_codec.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "ownership";
+
+/// Pause after a failed write, so that an unreachable store isn't called at each decision.
+constexpr milliseconds kPauseAfterFailure{300};
+
+/// Pause after a lost race; the reading of the other's record comes first.
+constexpr milliseconds kPauseAfterConflict{20};
+
+}  // namespace
+
+OwnershipKeeper::OwnershipKeeper(ReactorLoop& loop, RecordStore& store)
+    : loop_(loop), store_(store) {}
+
+void OwnershipKeeper::Decide(const KeyTable& table, std::uint64_t end, OwnershipView view) {
+  if (open_ && end > open_->at_) {
+    open_.reset();
+  }
+  if (in_flight_ || view.now_ < pause_until_) {
+    return;
+  }
+  view.first_read_ = first_read_;
+  view.kept_ = kept_;
+  auto change = DecideOwnershipChange(table, view);
+  if (!change) {
+    return;
+  }
+  LogInfo(kPart, "service=" + table.service_ + " base_version=" + std::to_string(table.version_) +
+                     " at=" + std::to_string(end) +
+                     " nodes=" + std::to_string(view.reachable_nodes_) + "/" +
+                     std::to_string(view.known_nodes_) + " change=\"" + change->reason_ + "\".");
+  open_ = OpenWrite{end, table, change->table_};
+  in_flight_ = true;
+  store_.Append(kFleetTopic,
+                {0, std::string(kTablePrefix) + table.service_, EncodeKeyTable(change->table_)},
+                end, [this, reason = change->reason_](Result<std::uint64_t> offset) {
+                  OnWritten(reason, std::move(offset));
+                });
+}
+
+void OwnershipKeeper::OnWritten(const std::string& reason, Result<std::uint64_t> offset) {
+  in_flight_ = false;
+  const BootTime now = BootClock::now();
+  if (offset) {
+    // The follower reads the record before the next decision on this table.
+    pause_until_ = now + kPauseAfterConflict;
+    return;
+  }
+  const bool conflict = offset.error().code_ == make_error_code(Errc::kConflict);
+  const bool refused = offset.error().code_ == make_error_code(Errc::kUnavailable);
+  if (conflict || refused) {
+    open_.reset();
+  }
+  pause_until_ = now + (conflict ? kPauseAfterConflict : kPauseAfterFailure);
+  LogInfo(kPart, "change=\"" + reason + "\" not_written=\"" + ToString(offset.error()) +
+                     "\" may_take_effect=" + (open_ ? "true." : "false."));
+}
+
+void OwnershipKeeper::OnTable(const KeyTable& before, const KeyTable& after, BootTime now) {
+  for (const KeyRange& range : before.ranges_) {
+    if (!range.successor_ || range.planned_) {
+      continue;
+    }
+    const KeyRange* same = FindRange(after, range.first_);
+    if (same != nullptr && same->owner_ == range.owner_ && !same->successor_) {
+      kept_[range.owner_] = now;
+    }
+  }
+  NoteChanges(after, now, first_read_);
+}
+
+bool OwnershipKeeper::MayLoseRanges(const Holder& holder, std::uint64_t end) const {
+  if (!open_ || end > open_->at_) {
+    return false;
+  }
+  return OwnedKeys(open_->after_, holder) < OwnedKeys(open_->before_, holder);
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/peer_links.cc
@@ -0,0 +1,96 @@
+#include "router/peer_links.h"
+
+#include <utility>
+
+#include "LibCore/logging.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "peers";
+
+constexpr std::size_t kMaxFrameBytes = 72U << 20U;  ///< The largest body that callers may send.
+constexpr milliseconds kConnectTimeout{500};        ///< Many times the delay between regions.
+
+/// Pause before a failed link is opened again, so that a dead node costs few connections.
+constexpr milliseconds kReconnectPause{100};
+
+}  // namespace
+
+PeerLinks::PeerLinks(ReactorLoop& loop, RouterShared& shared) : loop_(loop), shared_(shared) {}
+
+Result<void> PeerLinks::Listen(Hooks hooks) {
+  hooks_ = std::move(hooks);
+  PeerEvents events;
+  events.on_frame_ = [this](ConnectionId id, std::string_view frame) { OnFrame(id, frame); };
+  events.on_closed_ = [this](ConnectionId id, const Error& error) { OnClosed(id, error); };
+  const platform::ListenAddress& address = shared_.environment_.peers_;
+  auto network = PeerNetworkBuilder(loop_)
+                     .Listen(address.host_, address.port_)
+                     .MaxFrameBytes(kMaxFrameBytes)
+                     .ConnectTimeout(kConnectTimeout)
+                     .Events(std::move(events))
+                     .Build();
+  if (!network) {
+    return network.error();
+  }
+  network_ = std::move(network.value());
+  return boost::outcome_v2::success();
+}
+
+ConnectionId PeerLinks::Send(const std::string& address, const NodeMessage& message) {
+  auto found = by_address_.find(address);
+  if (found == by_address_.end()) {
+    if (const auto pause = pause_until_.find(address);
+        pause != pause_until_.end() && BootClock::now() < pause->second) {
+      return 0;
+    }
+    const ConnectionId connection = network_->Connect(address);
+    found = by_address_.emplace(address, connection).first;
+    addresses_.emplace(connection, address);
+  }
+  return network_->Send(found->second, EncodeNodeMessage(message)) ? found->second : 0;
+}
+
+void PeerLinks::Reply(ConnectionId connection, const NodeMessage& message) {
+  if (!network_->Send(connection, EncodeNodeMessage(message))) {
+    shared_.metrics_.Count("sassafrasbay_peer_replies_dropped_total");
+  }
+}
+
+void PeerLinks::Reset(const std::string& address) {
+  const auto found = by_address_.find(address);
+  if (found == by_address_.end()) {
+    return;
+  }
+  const ConnectionId connection = found->second;
+  network_->Close(connection);
+  OnClosed(connection, MakeError(Errc::kTimedOut, "report of peer", address, "none came"));
+}
+
+void PeerLinks::OnFrame(ConnectionId connection, std::string_view frame) {
+  auto message = DecodeNodeMessage(frame);
+  if (!message) {
+    shared_.metrics_.Count("sassafrasbay_peer_frames_rejected_total");
+    LogWarning(kPart, "frame ignored reason=\"" + ToString(message.error()) + "\".");
+    return;
+  }
+  hooks_.on_message_(connection, std::move(message.value()));
+}
+
+void PeerLinks::OnClosed(ConnectionId connection, const Error& error) {
+  const auto found = addresses_.find(connection);
+  if (found == addresses_.end()) {
+    hooks_.on_caller_lost_(connection);
+    return;
+  }
+  const std::string address = found->second;
+  addresses_.erase(found);
+  by_address_.erase(address);
+  pause_until_[address] = BootClock::now() + kReconnectPause;
+  shared_.metrics_.Count("sassafrasbay_peer_links_lost_total");
+  LogInfo(kPart, "peer=" + address + " link=lost reason=\"" + ToString(error) + "\".");
+  hooks_.on_lost_(address, connection);
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/router_node.cc
@@ -0,0 +1,74 @@
+#include "router/router_node.h"
+
+#include <pthread.h>
+
+#include <atomic>
+#include <csignal>
+#include <ctime>
+#include <thread>
+#include <utility>
+
+#include "LibCore/logging.h"
+#include "router/control_thread.h"
+#include "router/router_state.h"
+#include "router/traffic_thread.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "node";
+constexpr timespec kSignalPoll{0, 100'000'000};
+
+/// Kept back from the grace period for the end of the process itself.
+constexpr milliseconds kExitMargin{500};
+
+sigset_t HandledSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  return signals;
+}
+
+}  // namespace
+
+Result<void> RunRouterNode(platform::NodeEnvironment environment) {
+  // Blocked before any thread starts, so that only this thread receives them.
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  RouterShared shared;
+  shared.environment_ = std::move(environment);
+  shared.self_ =
+      shared.environment_.peers_.host_ + ":" + std::to_string(shared.environment_.peers_.port_);
+  TrafficThread traffic(shared);
+  ControlThread control(shared);
+  SASSAFRASBAY_TRY(traffic.Open(control.Calls()));
+  SASSAFRASBAY_TRY(control.Open(traffic.Calls()));
+  std::thread traffic_thread([&traffic] { traffic.Run(); });
+  std::thread control_thread([&control] { control.Run(); });
+  LogInfo(kPart, "start node=" + shared.environment_.node_ + " address=" + shared.self_ +
+                     " data_centre=" + shared.environment_.data_centre_ +
+                     " service=" + shared.environment_.service_ + ".");
+
+  std::atomic<bool> drained = false;
+  bool leaving = false;
+  while (!drained) {
+    const int signal = sigtimedwait(&signals, nullptr, &kSignalPoll);
+    if ((signal == SIGTERM || signal == SIGINT) && !leaving) {
+      leaving = true;
+      LogInfo(kPart, "stop signal=" + std::to_string(signal) + ".");
+      traffic.Leave(shared.environment_.grace_ - kExitMargin, [&drained] { drained = true; });
+    }
+  }
+  control.Stop();
+  traffic.Stop();
+  control_thread.join();
+  traffic_thread.join();
+  LogInfo(kPart, "end node=" + shared.environment_.node_ + ".");
+  return boost::outcome_v2::success();
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/router_state.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibCore/clock.h"
+#include "LibCore/metrics.h"
+#include "LibOwnership/key_table.h"
+#include "LibRouting/node_messages.h"
+#include "LibRouting/route_table.h"
+#include "platform/node_environment.h"
+
+namespace sassafrasbay {
+
+/// Another node of the system.
+struct Member {
+  std::string address_;  ///< Peer address.
+  std::string data_centre_;
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+/// The upstream beside this node, for the traffic thread.
+struct UpstreamState {
+  Holder holder_;
+  std::string service_;
+  std::string address_;
+  std::uint32_t slots_ = 1;
+  bool takes_requests_ = false;  ///< Neither draining nor leaving.
+  std::vector<KeySpan> granted_;
+  BootTime granted_until_{};
+};
+
+/// What the control thread has agreed and learnt. Immutable; a new one is published on each change.
+struct RouterSnapshot {
+  std::shared_ptr<const RouteTable> routes_;  ///< Null until the configuration is known.
+  std::string configuration_text_;
+  std::shared_ptr<const std::map<std::string, KeyTable>> tables_;  ///< By service; never null.
+  std::uint64_t tables_end_ = 0;
+  std::vector<std::pair<std::string, std::string>> records_;  ///< Newest records, for other nodes.
+  std::vector<Member> members_;  ///< All but this node.
+  std::shared_ptr<const UpstreamState> upstream_;  ///< Null until its first heartbeat.
+};
+
+/// Shared by the two threads of a node.
+struct RouterShared {
+  platform::NodeEnvironment environment_;
+  std::string self_;  ///< Peer address of this node.
+  Metrics metrics_;
+  /// Boot time in ns of the last moment at which the tables were known to be the newest; 0 for never.
+  std::atomic<std::int64_t> tables_confirmed_ns_{0};
+  std::atomic<bool> reaches_store_{false};
+};
+
+/// What the traffic thread learns from the report of another node.
+struct PeerFacts {
+  NodeReport report_;
+  BootTime received_{};
+};
+
+/// Calls from traffic to control; each posts to the control thread.
+struct RouterControlCalls {
+  std::function<void(PeerFacts)> report_received_;
+  std::function<void(StateTransfer)> state_received_;
+  std::function<void()> upstream_refused_;  ///< The upstream's port refuses connections.
+};
+
+/// Calls from control to traffic; each posts to the traffic thread.
+struct RouterTrafficCalls {
+  std::function<void(std::shared_ptr<const RouterSnapshot>)> snapshot_published_;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -0,0 +1,120 @@
+#include "router/topic_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/logging.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "store";
+
+/// Time that a read waits at the store for a new record. Each answer also confirms that the tables
+/// are the newest, which holds depend on, and shows that the connection is alive.
+constexpr milliseconds kReadWait{1000};
+
+/// Pause after a failed call, doubled with each further one.
+constexpr milliseconds kFirstPause{100};
+constexpr milliseconds kLongestPause{800};
+
+}  // namespace
+
+TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, Hooks hooks)
+    : loop_(loop), store_(store), topic_(std::move(topic)), hooks_(std::move(hooks)) {}
+
+TopicFollower::~TopicFollower() { loop_.CancelTimer(timer_); }
+
+void TopicFollower::Start() { ReadNewest(); }
+
+void TopicFollower::SkipTo(std::uint64_t end) {
+  if (current_ && end <= end_) {
+    return;
+  }
+  end_ = end;
+  current_ = true;
+  ReadNow();
+}
+
+void TopicFollower::ReadNow() {
+  loop_.CancelTimer(timer_);
+  timer_ = 0;
+  if (current_) {
+    ReadOn(milliseconds(0));
+  } else {
+    ReadNewest();
+  }
+}
+
+void TopicFollower::ReadNewest() {
+  const std::uint64_t round = ++round_;
+  const BootTime asked = BootClock::now();
+  store_.Newest(topic_, [this, round, asked](Result<RecordBatch> batch) {
+    OnBatch(round, asked, std::move(batch), true);
+  });
+}
+
+void TopicFollower::ReadOn(milliseconds wait) {
+  const std::uint64_t round = ++round_;
+  const BootTime asked = BootClock::now();
+  store_.Read(topic_, end_, wait, [this, round, asked](Result<RecordBatch> batch) {
+    OnBatch(round, asked, std::move(batch), false);
+  });
+}
+
+void TopicFollower::OnBatch(std::uint64_t round, BootTime asked, Result<RecordBatch> batch,
+                            bool newest) {
+  if (round != round_) {
+    return;
+  }
+  if (!batch) {
+    if (batch.error().code_ == make_error_code(Errc::kTruncated)) {
+      LogInfo(kPart, "topic=" + topic_ + " offset=" + std::to_string(end_) +
+                         " is no longer retained; reading the newest records.");
+      current_ = false;
+      ReadNewest();
+      return;
+    }
+    RetryLater(batch.error());
+    return;
+  }
+  failures_ = 0;
+  SetReached(true, {});
+  for (const KeyedRecord& record : batch.value().records_) {
+    hooks_.on_record_(record);
+  }
+  const std::uint64_t read_to =
+      batch.value().records_.empty() ? end_ : batch.value().records_.back().offset_ + 1;
+  end_ = newest ? batch.value().end_ : read_to;
+  current_ = true;
+  // Newest records aren't a snapshot, and a batch may end before the end of the topic; reading on
+  // without a wait shows what is missing.
+  const bool complete = !newest && end_ >= batch.value().end_;
+  if (complete) {
+    hooks_.on_current_(asked);
+  }
+  ReadOn(complete ? kReadWait : milliseconds(0));
+}
+
+void TopicFollower::RetryLater(const Error& error) {
+  SetReached(false, ToString(error));
+  const milliseconds pause = std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 4)));
+  ++failures_;
+  timer_ = loop_.StartTimer(pause, [this] {
+    timer_ = 0;
+    ReadNow();
+  });
+}
+
+void TopicFollower::SetReached(bool reached, std::string_view reason) {
+  if (reached_ == reached) {
+    return;
+  }
+  reached_ = reached;
+  LogInfo(kPart, "topic=" + topic_ + " end=" + std::to_string(end_) +
+                     (reached ? " store=reached." : " store=lost reason=\"") +
+                     (reached ? "" : std::string(reason) + "\"."));
+  hooks_.on_reached_(reached);
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibControl/record_store.h"
+#include "LibCore/clock.h"
+#include "LibTransport/reactor_loop.h"
+
+namespace sassafrasbay {
+
+/// Keeps up with a keyed topic of the store: the newest record of each key, then every record from
+/// there on.
+class TopicFollower {
+ public:
+  struct Hooks {
+    /// Each record, in order; an empty value removes the key.
+    std::function<void(const KeyedRecord&)> on_record_;
+    /// After each answer of the store. All records that existed at `asked` have been passed on.
+    std::function<void(BootTime asked)> on_current_;
+    /// The store is lost or reached again, as far as this topic tells.
+    std::function<void(bool reached)> on_reached_;
+  };
+
+  TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, Hooks hooks);
+  ~TopicFollower();
+  TopicFollower(const TopicFollower&) = delete;
+  TopicFollower& operator=(const TopicFollower&) = delete;
+
+  void Start();
+
+  /// Offset up to which all records are known; the next record gets it, as far as is known.
+  std::uint64_t End() const { return end_; }
+  bool IsReached() const { return reached_; }
+  /// The newest records have been read at least once.
+  bool IsCurrent() const { return current_; }
+
+  /// Continues from `end`, up to which another node has passed on the newest records.
+  void SkipTo(std::uint64_t end);
+
+  /// Reads at once, on a connection of its own, because another node knows of newer records.
+  void ReadNow();
+
+ private:
+  void ReadNewest();
+  void ReadOn(milliseconds wait);
+  void OnBatch(std::uint64_t round, BootTime asked, Result<RecordBatch> batch, bool newest);
+  void RetryLater(const Error& error);
+  void SetReached(bool reached, std::string_view reason);
+
+  ReactorLoop& loop_;
+  RecordStore& store_;
+  std::string topic_;
+  Hooks hooks_;
+  std::uint64_t end_ = 0;
+  std::uint64_t round_ = 0;  ///< Answers of earlier rounds are ignored.
+  bool current_ = false;
+  bool reached_ = false;
+  int failures_ = 0;
+  ReactorLoop::TimerId timer_ = 0;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -0,0 +1,269 @@
+#include "router/traffic_thread.h"
+
+#include <utility>
+#include <vector>
+
+#include "LibCore/logging.h"
+#include "LibOwnership/ownership_decision.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "traffic";
+
+/// Interval of reports. Loads are on every answer too; a node is taken for lost after six intervals.
+constexpr milliseconds kReportInterval{250};
+
+/// Pause before the same node is sent the whole state again.
+constexpr milliseconds kStatePause{500};
+
+/// After SIGTERM, callers learn from two failed readiness checks, one second apart, to stay away.
+constexpr milliseconds kCallersLeave{2300};
+constexpr milliseconds kIdlePoll{20};
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::uint64_t ClockMilliseconds() {
+  return static_cast<std::uint64_t>(ToBootMilliseconds(BootClock::now()));
+}
+
+}  // namespace
+
+TrafficThread::TrafficThread(RouterShared& shared)
+    : shared_(shared),
+      links_(loop_, shared_),
+      gate_(loop_, shared_),
+      router_(loop_, shared_, links_, gate_) {}
+
+Result<void> TrafficThread::Open(RouterControlCalls control) {
+  control_ = std::move(control);
+  PeerLinks::Hooks hooks;
+  hooks.on_message_ = [this](ConnectionId connection, NodeMessage message) {
+    OnMessage(connection, std::move(message));
+  };
+  hooks.on_lost_ = [this](const std::string& address, ConnectionId connection) {
+    router_.OnLinkLost(address, connection);
+  };
+  hooks.on_caller_lost_ = [this](ConnectionId connection) { OnCallerLost(connection); };
+  SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
+  gate_.SetHooks({[this] { control_.upstream_refused_(); },
+                  [this](const Suspect& suspect) {
+                    if (snapshot_ == nullptr) {
+                      return;
+                    }
+                    for (const Member& member : snapshot_->members_) {
+                      links_.Send(member.address_, suspect);
+                    }
+                  }});
+  const platform::NodeEnvironment& environment = shared_.environment_;
+  constexpr std::size_t kMaxBodyBytes = 64U << 20U;  ///< The operators' largest bound.
+  auto callers = HttpServerBuilder(loop_)
+                     .Listen(environment.callers_.host_, environment.callers_.port_)
+                     .MaxBodyBytes(kMaxBodyBytes)
+                     .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
+                       router_.Handle(exchange);
+                     })
+                     .Build();
+  auto ready = HttpServerBuilder(loop_)
+                   .Listen(environment.ready_.host_, environment.ready_.port_)
+                   .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
+                     exchange->Respond(Ready());
+                   })
+                   .Build();
+  auto metrics = HttpServerBuilder(loop_)
+                     .Listen(environment.metrics_.host_, environment.metrics_.port_)
+                     .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
+                       const bool known = exchange->Request().path_ == "/metrics";
+                       exchange->Respond(known
+                                             ? HttpResponse{kOk, {}, shared_.metrics_.Render()}
+                                             : HttpResponse{kNotFound, {}, "see /metrics\n"});
+                     })
+                     .Build();
+  for (auto* server : {&callers, &ready, &metrics}) {
+    if (!*server) {
+      return server->error();
+    }
+  }
+  callers_ = std::move(callers.value());
+  ready_ = std::move(ready.value());
+  metrics_ = std::move(metrics.value());
+  loop_.StartRepeatingTimer(kReportInterval, [this] { SendReports(); });
+  return boost::outcome_v2::success();
+}
+
+RouterTrafficCalls TrafficThread::Calls() {
+  RouterTrafficCalls calls;
+  calls.snapshot_published_ = [this](std::shared_ptr<const RouterSnapshot> snapshot) {
+    loop_.Post([this, snapshot = std::move(snapshot)] { SetSnapshot(snapshot); });
+  };
+  return calls;
+}
+
+void TrafficThread::SetSnapshot(const std::shared_ptr<const RouterSnapshot>& snapshot) {
+  const bool upstream_changed =
+      snapshot->upstream_ != nullptr &&
+      (snapshot_ == nullptr || snapshot_->upstream_ == nullptr ||
+       snapshot_->upstream_->holder_ != snapshot->upstream_->holder_ ||
+       snapshot_->upstream_->takes_requests_ != snapshot->upstream_->takes_requests_);
+  const bool members_changed =
+      snapshot_ == nullptr || snapshot_->members_ != snapshot->members_;
+  snapshot_ = snapshot;
+  gate_.SetUpstream(snapshot->upstream_);
+  router_.SetSnapshot(snapshot);
+  // Others route by these at once instead of after the interval.
+  if (upstream_changed || members_changed) {
+    SendReports();
+  }
+}
+
+HttpResponse TrafficThread::Ready() const {
+  const bool ready = !leaving_ && snapshot_ != nullptr && snapshot_->routes_ != nullptr;
+  return {ready ? kOk : kUnavailable, {}, ready ? "ready\n" : "not ready\n"};
+}
+
+void TrafficThread::OnMessage(ConnectionId connection, NodeMessage message) {
+  if (auto* request = std::get_if<ForwardedRequest>(&message)) {
+    OnForwarded(connection, std::move(*request));
+  } else if (auto* answer = std::get_if<ForwardedAnswer>(&message)) {
+    router_.OnAnswer(connection, std::move(*answer));
+  } else if (const auto* cancel = std::get_if<CancelForwarded>(&message)) {
+    const auto found = forwarded_.find({connection, cancel->number_});
+    if (found != forwarded_.end()) {
+      gate_.Cancel(found->second);
+      forwarded_.erase(found);
+    }
+  } else if (const auto* report = std::get_if<NodeReport>(&message)) {
+    OnReport(connection, *report);
+  } else if (auto* state = std::get_if<StateTransfer>(&message)) {
+    control_.state_received_(std::move(*state));
+  } else if (const auto* suspect = std::get_if<Suspect>(&message)) {
+    gate_.OnSuspect(*suspect);
+  }
+}
+
+void TrafficThread::OnForwarded(ConnectionId connection, ForwardedRequest request) {
+  const std::pair<ConnectionId, std::uint64_t> key{connection, request.number_};
+  const auto answered = std::make_shared<bool>(false);
+  const UpstreamGate::Number number =
+      gate_.Submit(std::move(request), [this, key, answered](ForwardedAnswer answer) {
+        *answered = true;
+        forwarded_.erase(key);
+        links_.Reply(key.first, answer);
+      });
+  if (!*answered) {
+    forwarded_[key] = number;
+  }
+}
+
+// A lost connection carries no answer any more, so that the work would be for nothing.
+void TrafficThread::OnCallerLost(ConnectionId connection) {
+  const auto first = forwarded_.lower_bound({connection, 0});
+  std::vector<UpstreamGate::Number> numbers;
+  auto last = first;
+  for (; last != forwarded_.end() && last->first.first == connection; ++last) {
+    numbers.push_back(last->second);
+  }
+  forwarded_.erase(first, last);
+  for (const UpstreamGate::Number number : numbers) {
+    gate_.Cancel(number);
+  }
+}
+
+void TrafficThread::OnReport(ConnectionId connection, const NodeReport& report) {
+  const PeerFacts facts{report, BootClock::now()};
+  reports_[report.address_] = facts;
+  router_.SetReport(facts);
+  control_.report_received_(facts);
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  const std::uint64_t version =
+      snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
+  const bool lags = report.configuration_version_ < version ||
+                    report.tables_end_ < snapshot_->tables_end_;
+  BootTime& sent = state_sent_[report.address_];
+  if (!lags || report.reaches_store_ || facts.received_ - sent < kStatePause) {
+    return;
+  }
+  sent = facts.received_;
+  StateTransfer state;
+  state.configuration_ = snapshot_->configuration_text_;
+  state.tables_end_ = snapshot_->tables_end_;
+  state.records_ = snapshot_->records_;
+  links_.Reply(connection, state);
+}
+
+NodeReport TrafficThread::MakeReport() const {
+  NodeReport report;
+  report.address_ = shared_.self_;
+  report.data_centre_ = shared_.environment_.data_centre_;
+  report.clock_ms_ = ClockMilliseconds();
+  report.load_ = gate_.Load();
+  report.leaving_ = leaving_;
+  report.reaches_store_ = shared_.reaches_store_;
+  if (snapshot_ == nullptr) {
+    return report;
+  }
+  // In this order: the tables in the snapshot are at least as old as the confirmation read first.
+  const std::int64_t confirmed = shared_.tables_confirmed_ns_;
+  report.tables_end_ = snapshot_->tables_end_;
+  if (confirmed > 0) {
+    const BootTime since{BootTime::duration(confirmed)};
+    report.tables_known_ = true;
+    report.tables_age_ms_ = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(BootClock::now() - since).count() + 1);
+  }
+  report.configuration_version_ =
+      snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
+  if (snapshot_->upstream_ != nullptr) {
+    const UpstreamState& upstream = *snapshot_->upstream_;
+    report.upstream_ = {upstream.service_, upstream.holder_.instance_, upstream.holder_.born_ms_,
+                        upstream.takes_requests_};
+  }
+  return report;
+}
+
+void TrafficThread::SendReports() {
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  NodeReport report = MakeReport();
+  const BootTime now = BootClock::now();
+  for (const Member& member : snapshot_->members_) {
+    const auto heard = reports_.find(member.address_);
+    report.echoed_clock_ms_ = heard == reports_.end() ? 0 : heard->second.report_.clock_ms_;
+    // A link can go silent without an error; a new one shows whether the node lives.
+    if (heard != reports_.end() && now - heard->second.received_ > kSuspectAfter) {
+      links_.Reset(member.address_);
+    }
+    links_.Send(member.address_, report);
+  }
+}
+
+void TrafficThread::Leave(milliseconds limit, std::function<void()> done) {
+  loop_.Post([this, limit, done = std::move(done)] {
+    leaving_ = true;
+    router_.SetLeaving();
+    SendReports();
+    const BootTime now = BootClock::now();
+    EndWhenIdle(now + kCallersLeave, now + limit, done);
+  });
+}
+
+void TrafficThread::EndWhenIdle(BootTime earliest, BootTime latest,
+                                const std::function<void()>& done) {
+  const BootTime now = BootClock::now();
+  const bool idle = router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0;
+  if (now > latest || (now > earliest && idle)) {
+    LogInfo(kPart, std::string("leaving idle=") + (idle ? "true." : "false."));
+    callers_->StopAccepting();
+    done();
+    return;
+  }
+  loop_.StartTimer(kIdlePoll,
+                   [this, earliest, latest, done] { EndWhenIdle(earliest, latest, done); });
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibTransport/http_server.h"
+#include "LibTransport/reactor_loop.h"
+#include "router/peer_links.h"
+#include "router/request_router.h"
+#include "router/router_state.h"
+#include "router/upstream_gate.h"
+
+namespace sassafrasbay {
+
+/// Callers, other nodes and the upstream's requests.
+class TrafficThread {
+ public:
+  explicit TrafficThread(RouterShared& shared);
+  TrafficThread(const TrafficThread&) = delete;
+  TrafficThread& operator=(const TrafficThread&) = delete;
+
+  /// Opens the listening sockets. Errors: those of the sockets.
+  Result<void> Open(RouterControlCalls control);
+
+  /// Calls that the control thread may make.
+  RouterTrafficCalls Calls();
+
+  /// Says not ready from now on, then runs `done` on this thread when all requests are answered, or
+  /// after `limit`. Thread-safe.
+  void Leave(milliseconds limit, std::function<void()> done);
+
+  void Run() { loop_.Run(); }
+  void Stop() { loop_.Stop(); }
+
+ private:
+  void SetSnapshot(const std::shared_ptr<const RouterSnapshot>& snapshot);
+  void OnMessage(ConnectionId connection, NodeMessage message);
+  void OnForwarded(ConnectionId connection, ForwardedRequest request);
+  void OnReport(ConnectionId connection, const NodeReport& report);
+  void OnCallerLost(ConnectionId connection);
+  void SendReports();
+  NodeReport MakeReport() const;
+  HttpResponse Ready() const;
+  void EndWhenIdle(BootTime earliest, BootTime latest, const std::function<void()>& done);
+
+  RouterShared& shared_;
+  ReactorLoop loop_;
+  PeerLinks links_;
+  UpstreamGate gate_;
+  RequestRouter router_;
+  RouterControlCalls control_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> ready_;
+  std::unique_ptr<HttpServer> metrics_;
+  std::shared_ptr<const RouterSnapshot> snapshot_;
+  std::map<std::string, PeerFacts> reports_;  ///< Newest by peer address.
+  std::map<std::string, BootTime> state_sent_;
+  /// Gate numbers of open requests of peers, by connection and the peer's number.
+  std::map<std::pair<ConnectionId, std::uint64_t>, UpstreamGate::Number> forwarded_;
+  bool leaving_ = false;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "LibRouting/crash_suspects.h"
+#include "LibRouting/node_messages.h"
+#include "LibRouting/slot_queue.h"
+#include "LibTransport/reactor_loop.h"
+#include "LibTransport/upstream_client.h"
+#include "router/router_state.h"
+
+namespace sassafrasbay {
+
+/// The only way to the upstream beside this node: slots, order, ownership of keys, cancellation.
+class UpstreamGate {
+ public:
+  using Number = std::uint64_t;  ///< 0 is never a request.
+  using AnswerHandler = std::function<void(ForwardedAnswer)>;
+
+  struct Hooks {
+    std::function<void()> on_refused_connection_;
+    std::function<void(const Suspect&)> on_suspect_;  ///< To be told to other nodes.
+  };
+
+  UpstreamGate(ReactorLoop& loop, RouterShared& shared);
+  UpstreamGate(const UpstreamGate&) = delete;
+  UpstreamGate& operator=(const UpstreamGate&) = delete;
+
+  void SetHooks(Hooks hooks) { hooks_ = std::move(hooks); }
+  void SetUpstream(const std::shared_ptr<const UpstreamState>& upstream);
+
+  /// Runs the request, now or when a slot is free. The handler runs once, possibly inside Submit,
+  /// unless the request is cancelled.
+  Number Submit(ForwardedRequest request, AnswerHandler handler);
+
+  /// The caller has gone; the upstream is told to stop.
+  void Cancel(Number number);
+
+  void OnSuspect(const Suspect& suspect);
+  bool IsRefused(std::uint64_t fingerprint) const;
+
+  GateLoad Load() const;
+  bool IsIdle() const { return open_.empty(); }
+
+ private:
+  struct OpenRequest {
+    ForwardedRequest request_;
+    AnswerHandler handler_;
+    BootTime received_{};
+    BootTime deadline_{};
+    BootTime started_{};
+    UpstreamClient::CallId call_ = 0;  ///< 0 while it waits for a slot.
+  };
+
+  RefusalReason Check(const ForwardedRequest& request) const;
+  bool IsUsable() const;
+  void Run(Number number);
+  void OnResult(Number number, UpstreamResult result);
+  void OnLost(const OpenRequest& open, const UpstreamResult& result);
+  void Refuse(Number number, RefusalReason reason, milliseconds retry_after);
+  void Answer(OpenRequest open, ForwardedAnswer answer);
+  void RunWaiting();
+  void ConfirmCrash(std::string_view evidence);
+
+  ReactorLoop& loop_;
+  RouterShared& shared_;
+  Hooks hooks_;
+  UpstreamClient client_;
+  std::shared_ptr<const UpstreamState> upstream_;
+  SlotQueue queue_;
+  std::unordered_map<Number, OpenRequest> open_;
+  CrashSuspects suspects_;
+  /// Fingerprints of requests whose connections broke, until it is known whether a crash did it.
+  std::vector<std::pair<std::uint64_t, BootTime>> broken_;
+  BootTime refused_until_{};  ///< The upstream's port refused a connection.
+  Number last_number_ = 0;
+};
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Services/sassafrasbay/sidecar_command.cc
@@ -0,0 +1,48 @@
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "LibCore/logging.h"
+#include "command_line.h"
+#include "commands.h"
+#include "platform/node_environment.h"
+#include "router/router_node.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kHelp =
+    "\n\nRuns a node on the users' platform, with the settings file that the environment variable\n"
+    "SASSAFRASBAY_SETTINGS names, until SIGTERM or SIGINT.\n\n"
+    "Example:\n  SASSAFRASBAY_SETTINGS=/etc/sassafrasbay/node.toml sassafrasbay sidecar\n";
+
+}  // namespace
+
+ExitCode RunSidecarCommand(std::span<const char*> arguments) {
+  const ParsedArguments parsed = ParseArguments(arguments, kHelp, {});
+  if (!parsed.valid_ || !parsed.operands_.empty()) {
+    return ExitCode::kUsage;
+  }
+  const char* path = std::getenv(platform::kSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << "sassafrasbay sidecar: " << platform::kSettingsVariable << " is not set\n";
+    return ExitCode::kUsage;
+  }
+  std::string text;
+  if (!ReadFile("sidecar", path, text)) {
+    return ExitCode::kInvalidFile;
+  }
+  auto environment = platform::DecodeNodeEnvironment(path, text);
+  if (!environment) {
+    std::cerr << "sassafrasbay sidecar: " << ToString(environment.error()) << "\n";
+    return ExitCode::kInvalidFile;
+  }
+  InitializeLogging({});
+  if (auto ran = RunRouterNode(std::move(environment.value())); !ran) {
+    std::cerr << "sassafrasbay sidecar: " << ToString(ran.error()) << "\n";
+    return ExitCode::kFailure;
+  }
+  return ExitCode::kSuccess;
+}
+
+}  // namespace sassafrasbay
