--- /dev/null
+++ b/Libraries/LibOwnership/balance_plan.cc
@@ -0,0 +1,81 @@
+#include "LibOwnership/balance_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasbay {
+namespace {
+
+/// Use, as a share of the capacity, below which an upstream keeps its keys: its requests hardly wait,
+/// and a moved key is unserved for about a tenth of a second.
+constexpr double kBusy = 0.55;
+
+/// Least difference in use that is worth a move.
+constexpr double kWorthwhileDifference = 0.15;
+
+/// Moves of one plan. Further ones follow from the next measurement.
+constexpr int kMostMoves = 24;
+
+struct Use {
+  UpstreamDemand demand_;
+  double per_second_ = 0;
+};
+
+double ShareOf(const Use& use) {
+  return use.per_second_ / std::max(use.demand_.capacity_per_second_, 1.0);
+}
+
+/// The piece whose move lowers the greater of the two uses most; null when none does.
+KeyDemand* BestPiece(Use& from, const Use& to) {
+  const double before = ShareOf(from);
+  double best = before - 0.02;
+  KeyDemand* choice = nullptr;
+  for (KeyDemand& piece : from.demand_.pieces_) {
+    const double capacity_from = std::max(from.demand_.capacity_per_second_, 1.0);
+    const double capacity_to = std::max(to.demand_.capacity_per_second_, 1.0);
+    const double after = std::max((from.per_second_ - piece.per_second_) / capacity_from,
+                                  (to.per_second_ + piece.per_second_) / capacity_to);
+    if (piece.per_second_ > 0 && after < best) {
+      best = after;
+      choice = &piece;
+    }
+  }
+  return choice;
+}
+
+}  // namespace
+
+std::vector<PlannedMove> PlanBalance(std::span<const UpstreamDemand> upstreams) {
+  std::vector<Use> uses;
+  for (const UpstreamDemand& upstream : upstreams) {
+    Use use{upstream, 0};
+    for (const KeyDemand& piece : upstream.pieces_) {
+      use.per_second_ += piece.per_second_;
+    }
+    uses.push_back(std::move(use));
+  }
+  std::vector<PlannedMove> moves;
+  if (uses.size() < 2) {
+    return moves;
+  }
+  const auto less = [](const Use& left, const Use& right) { return ShareOf(left) < ShareOf(right); };
+  while (moves.size() < kMostMoves) {
+    const auto [least, most] = std::minmax_element(uses.begin(), uses.end(), less);
+    if (ShareOf(*most) < kBusy || ShareOf(*most) - ShareOf(*least) < kWorthwhileDifference) {
+      break;
+    }
+    KeyDemand* piece = BestPiece(*most, *least);
+    if (piece == nullptr) {
+      break;
+    }
+    moves.push_back({most->demand_.holder_, piece->keys_, least->demand_.holder_});
+    most->per_second_ -= piece->per_second_;
+    least->per_second_ += piece->per_second_;
+    // What has just moved isn't moved again in this plan.
+    *piece = most->demand_.pieces_.back();
+    most->demand_.pieces_.pop_back();
+  }
+  return moves;
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -235,6 +235,37 @@
   return std::nullopt;
 }
 
+Decision BalanceDemand(const KeyTable& table, const OwnershipView& view) {
+  const bool moving = std::any_of(table.ranges_.begin(), table.ranges_.end(),
+                                  [](const KeyRange& range) { return range.successor_; });
+  if (moving || view.now_ - view.last_balance_ < kBalanceInterval) {
+    return std::nullopt;
+  }
+  const std::vector<Candidate> candidates = Candidates(view, true);
+  std::vector<UpstreamDemand> demand;
+  for (const UpstreamDemand& upstream : view.demand_) {
+    const bool takes_keys = std::any_of(
+        candidates.begin(), candidates.end(),
+        [&](const Candidate& candidate) { return candidate.holder_ == upstream.holder_; });
+    if (takes_keys) {
+      demand.push_back(upstream);
+    }
+  }
+  KeyTable next = table;
+  std::string moves;
+  for (const PlannedMove& move : PlanBalance(demand)) {
+    next = BeginMove(next, move.owner_, move.keys_, move.successor_);
+    moves += " " + std::to_string(move.keys_.first_) + "-" + std::to_string(move.keys_.last_) +
+             ":" + move.owner_.instance_ + ">" + move.successor_.instance_;
+  }
+  next.version_ = table.version_ + 1;
+  Decision decision = IfChanged(table, std::move(next), "balance of demand," + moves);
+  if (decision) {
+    decision->for_balance_ = true;
+  }
+  return decision;
+}
+
 }  // namespace
 
 bool IsIsolated(const OwnershipView& view) {
@@ -254,7 +285,7 @@
   if (!IsPlanner(view)) {
     return std::nullopt;
   }
-  for (const auto decide : {&ReplaceLostNodes, &AssignFirst, &FillEmptyUpstream}) {
+  for (const auto decide : {&ReplaceLostNodes, &AssignFirst, &FillEmptyUpstream, &BalanceDemand}) {
     if (Decision decision = decide(table, view)) {
       return decision;
     }
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibCore/clock.h"
+#include "LibOwnership/balance_plan.h"
 #include "LibOwnership/hold_rules.h"
 #include "LibOwnership/key_table.h"
 #include "LibOwnership/table_changes.h"
@@ -54,6 +55,8 @@
   std::vector<NodeView> nodes_;  ///< All known nodes of the service but this one.
   std::size_t known_nodes_ = 1;  ///< All nodes of the system, with this one.
   std::size_t reachable_nodes_ = 1;  ///< Those heard of within kSuspectAfter, with this one.
+  std::vector<UpstreamDemand> demand_;  ///< Of all upstreams that reported within kDemandFresh.
+  BootTime last_balance_{};             ///< When this node last wrote moves for balance.
   /// When a node took back ranges that others thought lost.
   std::map<Holder, BootTime> kept_;
   std::map<ChangeKey, BootTime> first_read_;  ///< When this process first read of each change.
@@ -74,9 +77,16 @@
 /// lives and reaches the store even if this node doesn't hear of it.
 inline constexpr milliseconds kTrustAfterKeeping{4000};
 
+/// Demand older than this isn't planned on.
+inline constexpr milliseconds kDemandFresh{1500};
+
+/// Time between two changes for balance, in which the effect of the first shows in the demand.
+inline constexpr milliseconds kBalanceInterval{1200};
+
 struct OwnershipChange {
   KeyTable table_;
   std::string reason_;  ///< For the log.
+  bool for_balance_ = false;
 };
 
 /// True when this node reaches less than half of all nodes: it can't judge others, and its own keys
--- /dev/null
+++ b/Libraries/LibRouting/key_load.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "LibCore/clock.h"
+
+namespace sassafrasbay {
+
+/// Requests for each key, decayed.
+struct KeyLoad {
+  std::unordered_map<std::uint32_t, double> requests_;  ///< By key.
+  BootTime decayed_at_{};
+};
+
+/// Neighbouring keys and the requests a second for them.
+struct LoadPiece {
+  std::uint32_t first_ = 0;
+  std::uint32_t last_ = 0;
+  double per_second_ = 0;
+
+  friend bool operator==(const LoadPiece&, const LoadPiece&) = default;
+};
+
+void CountKey(KeyLoad& load, std::uint32_t key);
+
+/// Ages the counts to `now`. To be called at regular intervals, before LoadPieces.
+void Decay(KeyLoad& load, BootTime now);
+
+/// At most `most` pieces of about equal load, ascending by key. A key with more than that is a piece
+/// of its own.
+std::vector<LoadPiece> LoadPieces(const KeyLoad& load, std::size_t most);
+
+}  // namespace sassafrasbay
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -19,6 +19,7 @@
   kNodeReport = 35,
   kStateTransfer = 36,
   kSuspect = 37,
+  kDemandReport = 38,
 };
 
 Cbor Start(Type type) { return {{"t", static_cast<std::uint64_t>(type)}}; }
@@ -108,6 +109,19 @@
   return SerializeFrame(value);
 }
 
+std::string Write(const DemandReport& message) {
+  Cbor value = Start(Type::kDemandReport);
+  value["a"] = message.address_;
+  value["s"] = message.service_;
+  value["cp"] = message.capacity_per_second_;
+  Cbor::array_t pieces;
+  for (const LoadPiece& piece : message.pieces_) {
+    pieces.push_back({{"f", piece.first_}, {"l", piece.last_}, {"r", piece.per_second_}});
+  }
+  value["ps"] = std::move(pieces);
+  return SerializeFrame(value);
+}
+
 std::string Write(const Suspect& message) {
   Cbor value = Start(Type::kSuspect);
   value["f"] = message.fingerprint_;
@@ -183,6 +197,22 @@
   return message;
 }
 
+DemandReport ReadDemandReport(FieldReader& reader) {
+  DemandReport message;
+  message.address_ = TakeText(reader, "a");
+  message.service_ = TakeText(reader, "s");
+  message.capacity_per_second_ = TakeNumber(reader, "cp");
+  for (Cbor& item : TakeArray(reader, "ps")) {
+    FieldReader fields = ReaderOf(item, reader);
+    LoadPiece& piece = message.pieces_.emplace_back();
+    Read(fields, "f", piece.first_);
+    Read(fields, "l", piece.last_);
+    piece.per_second_ = TakeNumber(fields, "r");
+    Inherit(reader, fields);
+  }
+  return message;
+}
+
 Suspect ReadSuspect(FieldReader& reader) {
   Suspect message;
   Read(reader, "f", message.fingerprint_);
@@ -238,6 +268,9 @@
     case Type::kStateTransfer:
       message = ReadStateTransfer(reader);
       break;
+    case Type::kDemandReport:
+      message = ReadDemandReport(reader);
+      break;
     case Type::kSuspect:
       message = ReadSuspect(reader);
       break;
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/error.h"
 #include "LibCore/http_message.h"
+#include "LibRouting/key_load.h"
 #include "LibRouting/messages.h"
 
 namespace sassafrasbay {
@@ -102,8 +103,16 @@
   std::vector<std::pair<std::string, std::string>> records_;  ///< Newest records of the topic.
 };
 
+/// Demand on the upstream beside the sender, for the node that plans.
+struct DemandReport {
+  std::string address_;  ///< Peer address of the sender.
+  std::string service_;
+  double capacity_per_second_ = 0;
+  std::vector<LoadPiece> pieces_;
+};
+
 using NodeMessage = std::variant<ForwardedRequest, ForwardedAnswer, CancelForwarded, NodeReport,
-                                 StateTransfer, Suspect>;
+                                 StateTransfer, DemandReport, Suspect>;
 
 /// CBOR, one message a frame.
 std::string EncodeNodeMessage(const NodeMessage& message);
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -37,6 +37,26 @@
   return {kOk, {{"Content-Type", "application/json"}}, std::move(body)};
 }
 
+/// Adds the demand on the upstream beside the node at `address`, if it can take keys.
+void AddDemand(OwnershipView& view, const std::string& address, const DemandReport& report) {
+  UpstreamDemand demand;
+  demand.capacity_per_second_ = report.capacity_per_second_;
+  if (address == view.self_ && view.own_.holder_) {
+    demand.holder_ = *view.own_.holder_;
+  }
+  for (const NodeView& node : view.nodes_) {
+    if (node.address_ == address && node.upstream_) {
+      demand.holder_ = node.upstream_->holder_;
+    }
+  }
+  for (const LoadPiece& piece : report.pieces_) {
+    demand.pieces_.push_back({{piece.first_, piece.last_}, piece.per_second_});
+  }
+  if (!demand.holder_.node_.empty()) {
+    view.demand_.push_back(std::move(demand));
+  }
+}
+
 std::int64_t ToNanoseconds(BootTime time) { return time.time_since_epoch().count(); }
 
 BootTime FromNanoseconds(std::int64_t value) { return BootTime(BootTime::duration(value)); }
@@ -90,6 +110,11 @@
   calls.state_received_ = [this](StateTransfer state) {
     loop_.Post([this, state = std::move(state)] { OnState(state); });
   };
+  calls.demand_received_ = [this](DemandReport demand) {
+    loop_.Post([this, demand = std::move(demand)] {
+      demand_[demand.address_] = {demand, BootClock::now()};
+    });
+  };
   calls.upstream_refused_ = [this] {
     loop_.Post([this] {
       if (NoteRefusal(registry_, BootClock::now(), shared_.environment_.heartbeat_interval_)) {
@@ -392,6 +417,11 @@
     view.reachable_nodes_ += view.now_ - node.last_heard_ < kSuspectAfter ? 1 : 0;
     view.nodes_.push_back(std::move(node));
   }
+  for (const auto& [address, demand] : demand_) {
+    if (demand.first.service_ == service && view.now_ - demand.second < kDemandFresh) {
+      AddDemand(view, address, demand.first);
+    }
+  }
   return view;
 }
 
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -80,6 +80,8 @@
   std::map<std::string, Member> members_;  ///< By peer address.
   std::map<std::string, std::string> records_;
   std::map<std::string, PeerFacts> peers_;  ///< Newest report by peer address.
+  /// Newest demand by the peer address of the node.
+  std::map<std::string, std::pair<DemandReport, BootTime>> demand_;
   UpstreamRegistry registry_;
   std::vector<HeldBeat> held_beats_;
   bool update_posted_ = false;
--- a/Services/sassafrasbay/router/ownership_keeper.cc
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -31,6 +31,7 @@
   }
   view.first_read_ = first_read_;
   view.kept_ = kept_;
+  view.last_balance_ = last_balance_;
   auto change = DecideOwnershipChange(table, view);
   if (!change) {
     return;
@@ -39,6 +40,9 @@
                      " at=" + std::to_string(end) +
                      " nodes=" + std::to_string(view.reachable_nodes_) + "/" +
                      std::to_string(view.known_nodes_) + " change=\"" + change->reason_ + "\".");
+  if (change->for_balance_) {
+    last_balance_ = view.now_;
+  }
   open_ = OpenWrite{end, table, change->table_};
   in_flight_ = true;
   store_.Append(kFleetTopic,
--- a/Services/sassafrasbay/router/ownership_keeper.h
+++ b/Services/sassafrasbay/router/ownership_keeper.h
@@ -52,6 +52,7 @@
   std::optional<OpenWrite> open_;
   bool in_flight_ = false;
   BootTime pause_until_{};
+  BootTime last_balance_{};
 };
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -68,6 +68,7 @@
 struct RouterControlCalls {
   std::function<void(PeerFacts)> report_received_;
   std::function<void(StateTransfer)> state_received_;
+  std::function<void(DemandReport)> demand_received_;
   std::function<void()> upstream_refused_;  ///< The upstream's port refuses connections.
 };
 
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -14,6 +14,12 @@
 /// Interval of reports. Loads are on every answer too; a node is taken for lost after six intervals.
 constexpr milliseconds kReportInterval{250};
 
+/// Interval of the reports on the demand for keys.
+constexpr milliseconds kDemandInterval{400};
+
+/// Nodes that get the reports on demand.
+constexpr std::size_t kPlanners = 2;
+
 /// Pause before the same node is sent the whole state again.
 constexpr milliseconds kStatePause{500};
 
@@ -90,6 +96,7 @@
   ready_ = std::move(ready.value());
   metrics_ = std::move(metrics.value());
   loop_.StartRepeatingTimer(kReportInterval, [this] { SendReports(); });
+  loop_.StartRepeatingTimer(kDemandInterval, [this] { SendDemand(); });
   return boost::outcome_v2::success();
 }
 
@@ -138,6 +145,8 @@
     OnReport(connection, *report);
   } else if (auto* state = std::get_if<StateTransfer>(&message)) {
     control_.state_received_(std::move(*state));
+  } else if (auto* demand = std::get_if<DemandReport>(&message)) {
+    control_.demand_received_(std::move(*demand));
   } else if (const auto* suspect = std::get_if<Suspect>(&message)) {
     gate_.OnSuspect(*suspect);
   }
@@ -242,6 +251,30 @@
   }
 }
 
+// Only the nodes with the lowest addresses plan; the second takes over when the first is lost.
+void TrafficThread::SendDemand() {
+  if (snapshot_ == nullptr || snapshot_->routes_ == nullptr || snapshot_->upstream_ == nullptr) {
+    return;
+  }
+  const auto service = snapshot_->routes_->services_.find(snapshot_->upstream_->service_);
+  if (service == snapshot_->routes_->services_.end() || !service->second.sharded_) {
+    return;
+  }
+  const std::optional<DemandReport> demand = gate_.Demand();
+  if (!demand) {
+    return;
+  }
+  control_.demand_received_(*demand);
+  const BootTime now = BootClock::now();
+  std::size_t sent = 0;
+  for (const auto& [address, facts] : reports_) {
+    if (sent < kPlanners && now - facts.received_ < kSuspectAfter) {
+      links_.Send(address, *demand);
+      ++sent;
+    }
+  }
+}
+
 void TrafficThread::Leave(milliseconds limit, std::function<void()> done) {
   loop_.Post([this, limit, done = std::move(done)] {
     leaving_ = true;
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -42,6 +42,7 @@
   void OnReport(ConnectionId connection, const NodeReport& report);
   void OnCallerLost(ConnectionId connection);
   void SendReports();
+  void SendDemand();
   NodeReport MakeReport() const;
   HttpResponse Ready() const;
   void EndWhenIdle(BootTime earliest, BootTime latest, const std::function<void()>& done);
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -25,6 +25,16 @@
 
 constexpr int kFirstServerError = 500;
 
+/// Pieces into which the demand of one upstream is divided for the planner.
+constexpr std::size_t kDemandPieces = 32;
+
+/// Service time that is assumed until one has been measured.
+constexpr double kAssumedServiceMs = 100;
+
+/// Weight of a result in the share of requests served, and the least share assumed.
+constexpr double kSuccessWeight = 0.05;
+constexpr double kLeastSuccess = 0.2;
+
 milliseconds Since(BootTime time, BootTime now) {
   return std::chrono::duration_cast<milliseconds>(now - time);
 }
@@ -47,6 +57,7 @@
     client_.SetAddress(upstream->address_);
     queue_.service_ms_.clear();
     queue_.mean_service_ms_ = 0;
+    success_share_ = 1;
     refused_until_ = {};
   }
   upstream_ = upstream;
@@ -63,6 +74,22 @@
           static_cast<std::uint32_t>(queue_.waiting_.size())};
 }
 
+std::optional<DemandReport> UpstreamGate::Demand() {
+  if (upstream_ == nullptr) {
+    return std::nullopt;
+  }
+  Decay(key_load_, BootClock::now());
+  DemandReport report;
+  report.address_ = shared_.self_;
+  report.service_ = upstream_->service_;
+  const double service_ms =
+      queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kAssumedServiceMs;
+  report.capacity_per_second_ = queue_.slots_ * 1000.0 / service_ms *
+                                std::max(success_share_, kLeastSuccess);
+  report.pieces_ = LoadPieces(key_load_, kDemandPieces);
+  return report;
+}
+
 RefusalReason UpstreamGate::Check(const ForwardedRequest& request) const {
   if (!IsUsable()) {
     return RefusalReason::kNoUpstream;
@@ -92,6 +119,9 @@
   const Number number = ++last_number_;
   const BootTime now = BootClock::now();
   const RefusalReason reason = Check(request);
+  if (request.shard_key_ && reason != RefusalReason::kNotOwner) {
+    CountKey(key_load_, *request.shard_key_);
+  }
   const milliseconds remaining(request.remaining_ms_);
   const SlotRequest slot{number, request.class_, request.rank_,
                          now + milliseconds(request.objective_ms_), now + remaining};
@@ -159,6 +189,7 @@
     }
     answer.response_ = std::move(result.response_.value());
   }
+  success_share_ += kSuccessWeight * ((sample ? 1.0 : 0.0) - success_share_);
   FreeSlot(queue_, open.request_.class_, sample);
   Answer(std::move(open), std::move(answer));
   RunWaiting();
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "LibRouting/crash_suspects.h"
+#include "LibRouting/key_load.h"
 #include "LibRouting/node_messages.h"
 #include "LibRouting/slot_queue.h"
 #include "LibTransport/reactor_loop.h"
@@ -46,6 +48,8 @@
   bool IsRefused(std::uint64_t fingerprint) const;
 
   GateLoad Load() const;
+  /// Demand for keys since some seconds, decayed; nothing when no keys are asked for.
+  std::optional<DemandReport> Demand();
   bool IsIdle() const { return open_.empty(); }
 
  private:
@@ -74,6 +78,8 @@
   UpstreamClient client_;
   std::shared_ptr<const UpstreamState> upstream_;
   SlotQueue queue_;
+  KeyLoad key_load_;
+  double success_share_ = 1;  ///< Smoothed share of sent requests that were served.
   std::unordered_map<Number, OpenRequest> open_;
   CrashSuspects suspects_;
   /// Fingerprints of requests whose connections broke, until it is known whether a crash did it.
--- /dev/null
+++ b/Tests/LibOwnership/ownership_fixtures.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "LibOwnership/ownership_decision.h"
+
+namespace sassafrasbay {
+
+inline Holder HolderAt(const std::string& node) { return {node, "i-" + node, 1000}; }
+
+inline KeyRange RangeOf(ShardKey first, ShardKey last, const Holder& owner,
+                        std::uint64_t token = 1) {
+  KeyRange range;
+  range.first_ = first;
+  range.last_ = last;
+  range.token_ = token;
+  range.owner_ = owner;
+  return range;
+}
+
+/// All keys, owned in equal parts by the holders in order.
+inline KeyTable EvenTable(const std::vector<Holder>& holders) {
+  KeyTable table{"lookup", 1, {}};
+  const auto size = static_cast<ShardKey>((kLastShardKey + 1) / holders.size());
+  for (std::size_t i = 0; i < holders.size(); ++i) {
+    const auto first = static_cast<ShardKey>(i * size);
+    const ShardKey last = i + 1 == holders.size() ? kLastShardKey : first + size - 1;
+    table.ranges_.push_back(RangeOf(first, last, holders[i]));
+  }
+  return table;
+}
+
+/// Ten minutes after boot, so that times before it can be named.
+inline BootTime At(std::int64_t after_ms) {
+  return BootTime(std::chrono::minutes(10)) + milliseconds(after_ms);
+}
+
+/// What node "a" sees in a calm fleet of "a", "b" and "c", ten seconds after its start.
+inline OwnershipView CalmView() {
+  OwnershipView view;
+  view.self_ = "a";
+  view.now_ = At(10'000);
+  view.started_ = At(0);
+  view.reaches_store_ = true;
+  view.own_.holder_ = HolderAt("a");
+  view.own_.slots_ = 18;
+  view.own_.last_heartbeat_ = At(9'500);
+  view.own_.granted_until_ = At(14'000);
+  for (const std::string node : {"b", "c"}) {
+    NodeView other;
+    other.address_ = node;
+    other.last_heard_ = At(9'900);
+    other.reaches_store_ = true;
+    other.upstream_ = Candidate{HolderAt(node), 18};
+    view.nodes_.push_back(other);
+  }
+  view.known_nodes_ = 3;
+  view.reachable_nodes_ = 3;
+  return view;
+}
+
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibOwnership/test_balance_plan.cc
@@ -0,0 +1,81 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibOwnership/ownership_fixtures.h"
+
+namespace sassafrasbay {
+namespace {
+
+UpstreamDemand Demand(const std::string& node, double capacity, ShardKey first,
+                      std::vector<double> rates) {
+  UpstreamDemand demand{HolderAt(node), capacity, {}};
+  for (const double rate : rates) {
+    demand.pieces_.push_back({{first, first + 9}, rate});
+    first += 10;
+  }
+  return demand;
+}
+
+/// Use of each upstream as a share of its capacity, after the moves.
+std::map<std::string, double> UseAfter(const std::vector<UpstreamDemand>& upstreams,
+                                       const std::vector<PlannedMove>& moves) {
+  std::map<std::string, double> capacity;
+  std::map<std::string, double> rate;
+  for (const UpstreamDemand& upstream : upstreams) {
+    capacity[upstream.holder_.node_] = upstream.capacity_per_second_;
+    for (const KeyDemand& piece : upstream.pieces_) {
+      std::string node = upstream.holder_.node_;
+      for (const PlannedMove& move : moves) {
+        if (move.keys_ == piece.keys_) {
+          node = move.successor_.node_;
+        }
+      }
+      rate[node] += piece.per_second_;
+    }
+  }
+  for (auto& [node, use] : rate) {
+    use /= capacity[node];
+  }
+  return rate;
+}
+
+BOOST_AUTO_TEST_SUITE(BalancePlans)
+
+// Pattern: neighbouring keys of one upstream get most of the requests.
+BOOST_AUTO_TEST_CASE(HotNeighboursAreSpreadOverAllUpstreams) {
+  const std::vector<UpstreamDemand> upstreams = {
+      Demand("a", 100, 0, std::vector<double>(16, 12.0)),
+      Demand("b", 100, 1000, std::vector<double>(4, 8.0)),
+      Demand("c", 100, 2000, std::vector<double>(4, 8.0))};
+  const std::vector<PlannedMove> moves = PlanBalance(upstreams);
+  for (const auto& [node, use] : UseAfter(upstreams, moves)) {
+    BOOST_TEST(use < 1.0, node);
+  }
+}
+
+// Pattern: upstreams of one service differ in speed more than twofold.
+BOOST_AUTO_TEST_CASE(AFastUpstreamGetsMore) {
+  const std::vector<UpstreamDemand> upstreams = {
+      Demand("slow", 80, 0, std::vector<double>(16, 6.0)),
+      Demand("fast", 200, 1000, std::vector<double>(16, 4.0))};
+  const std::map<std::string, double> use = UseAfter(upstreams, PlanBalance(upstreams));
+  BOOST_TEST(use.at("slow") < 0.75);
+  BOOST_TEST(use.at("fast") < 0.75);
+}
+
+BOOST_AUTO_TEST_CASE(NothingMovesWhileNoUpstreamIsBusy) {
+  const std::vector<UpstreamDemand> upstreams = {
+      Demand("a", 100, 0, std::vector<double>(8, 5.0)), Demand("b", 100, 1000, {1.0})};
+  BOOST_TEST(PlanBalance(upstreams).empty());
+}
+
+// One key can't be divided; moving it back and forth would only make it unserved.
+BOOST_AUTO_TEST_CASE(ASingleHotKeyStaysWhereItIs) {
+  const std::vector<UpstreamDemand> upstreams = {Demand("a", 100, 0, {150.0}),
+                                                 Demand("b", 100, 1000, {10.0})};
+  BOOST_TEST(PlanBalance(upstreams).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibOwnership/test_hold_rules.cc
@@ -0,0 +1,57 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibOwnership/ownership_fixtures.h"
+
+namespace sassafrasbay {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(HoldRules)
+
+// A successor may be granted kTakeoverWait after its record was read, which is after the moment at
+// which the owner's table was last known to be the newest. A hold that ends later gives two owners.
+BOOST_AUTO_TEST_CASE(NoGrantOutlastsTheWaitOfASuccessor) {
+  for (std::int64_t age = 0; age <= kTakeoverWait.count(); age += 37) {
+    const auto length = GrantLength(At(0), At(age), milliseconds(10'000));
+    if (length) {
+      BOOST_TEST((GrantEnd(At(age), *length) <= At(0) + kTakeoverWait + milliseconds(2)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsGrantedWhenTheTableMayBeOutdated) {
+  BOOST_TEST(!GrantLength(At(0), At(kTakeoverWait.count()), milliseconds(10'000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheUpstreamsBoundHolds) {
+  BOOST_TEST((GrantLength(At(0), At(0), milliseconds(700)) == milliseconds(700)));
+}
+
+BOOST_AUTO_TEST_CASE(RangesThatChangeHandsAreNotGranted) {
+  KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  BOOST_TEST(RangesToGrant(table, HolderAt("a")).size() == 1);
+  table.ranges_[0].successor_ = HolderAt("b");
+  BOOST_TEST(RangesToGrant(table, HolderAt("a")).empty());
+  BOOST_TEST(HasUnplannedSuccessor(table, HolderAt("a")));
+  table.ranges_[0].planned_ = true;
+  BOOST_TEST(!HasUnplannedSuccessor(table, HolderAt("a")));
+}
+
+BOOST_AUTO_TEST_CASE(AnotherIncarnationOfTheSameInstanceIsGrantedNothing) {
+  const KeyTable table = EvenTable({HolderAt("a")});
+  Holder reborn = HolderAt("a");
+  reborn.born_ms_ += 1;
+  BOOST_TEST(RangesToGrant(table, reborn).empty());
+}
+
+BOOST_AUTO_TEST_CASE(FindsTheKeysThatAreNotHeld) {
+  const std::vector<KeySpan> parts =
+      KeysNotHeld({10, 50}, {{{0, 14}, 1, {}}, {{20, 29}, 1, {}}, {{45, 60}, 1, {}}});
+  BOOST_REQUIRE(parts.size() == 2);
+  BOOST_TEST((parts[0] == KeySpan{15, 19}));
+  BOOST_TEST((parts[1] == KeySpan{30, 44}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibOwnership/test_ownership_decision.cc
@@ -0,0 +1,156 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibOwnership/ownership_fixtures.h"
+
+namespace sassafrasbay {
+namespace {
+
+const KeyRange& FirstRange(const std::optional<OwnershipChange>& change) {
+  BOOST_REQUIRE(change.has_value());
+  return change->table_.ranges_.front();
+}
+
+BOOST_AUTO_TEST_SUITE(OwnershipDecisions)
+
+BOOST_AUTO_TEST_CASE(ACalmFleetChangesNothing) {
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b"), HolderAt("c")});
+  BOOST_TEST(!DecideOwnershipChange(table, CalmView()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyThePlannerAssigns) {
+  OwnershipView view = CalmView();
+  BOOST_TEST(DecideOwnershipChange({"lookup", 0, {}}, view).has_value());
+  view.self_ = "d";
+  view.own_.holder_ = HolderAt("d");
+  BOOST_TEST(!DecideOwnershipChange({"lookup", 0, {}}, view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ANodeThatIsNotHeardOfGetsASuccessorButStaysOwner) {
+  OwnershipView view = CalmView();
+  view.nodes_[0].last_heard_ = At(8'000);
+  view.reachable_nodes_ = 2;
+  const KeyTable table = EvenTable({HolderAt("b"), HolderAt("c")});
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_TEST(FirstRange(change).owner_.node_ == "b");
+  BOOST_TEST(FirstRange(change).successor_.has_value());
+  BOOST_TEST(!FirstRange(change).planned_);
+}
+
+// A node that is cut off from the others would take their keys.
+BOOST_AUTO_TEST_CASE(AnIsolatedNodeTakesNobodyForLost) {
+  OwnershipView view = CalmView();
+  view.nodes_[0].last_heard_ = At(0);
+  view.nodes_[1].last_heard_ = At(0);
+  view.reachable_nodes_ = 1;
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b"), HolderAt("c")});
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ASuspectedOwnerTakesItsRangesBack) {
+  KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  table.ranges_[0].successor_ = HolderAt("b");
+  const auto change = DecideOwnershipChange(table, CalmView());
+  BOOST_TEST(!FirstRange(change).successor_.has_value());
+}
+
+// It couldn't serve the others' callers, and would block the takeover as long as it is cut off.
+BOOST_AUTO_TEST_CASE(AnIsolatedOwnerReleasesInstead) {
+  OwnershipView view = CalmView();
+  view.reachable_nodes_ = 1;
+  KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  table.ranges_[0].successor_ = HolderAt("b");
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+  view.own_.held_is_current_ = true;
+  BOOST_TEST(FirstRange(DecideOwnershipChange(table, view)).owner_.node_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(TheSuccessorWaitsForTheFormerHold) {
+  OwnershipView view = CalmView();
+  view.nodes_[0].last_heard_ = At(0);
+  view.reachable_nodes_ = 2;
+  KeyTable table = EvenTable({HolderAt("b"), HolderAt("c")});
+  table.ranges_[0].successor_ = HolderAt("a");
+  NoteChanges(table, At(5'000), view.first_read_);
+  view.now_ = At(5'000) + kTakeoverWait;
+  view.own_.last_heartbeat_ = view.now_;
+  view.nodes_[1].last_heard_ = view.now_;
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+  view.now_ += milliseconds(1);
+  BOOST_TEST(FirstRange(DecideOwnershipChange(table, view)).owner_.node_ == "a");
+}
+
+BOOST_AUTO_TEST_CASE(AMovingRangeIsReleasedOnlyWhenItIsNotHeld) {
+  OwnershipView view = CalmView();
+  KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  table.ranges_[0].successor_ = HolderAt("b");
+  table.ranges_[0].planned_ = true;
+  // The heartbeat was sent before any answer left the range out.
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+  view.own_.held_is_current_ = true;
+  view.own_.held_ = {{{0, 99}, 1, {}}};
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_TEST(FirstRange(change).owner_.node_ == "a");
+  BOOST_TEST(FindRange(change->table_, 100)->owner_.node_ == "b");
+}
+
+// A silent upstream may still serve until its grant has ended; a new incarnation proves its end.
+BOOST_AUTO_TEST_CASE(ASilentUpstreamKeepsItsKeysUntilItsGrantEnds) {
+  OwnershipView view = CalmView();
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b"), HolderAt("c")});
+  view.own_.last_heartbeat_ = At(6'000);
+  view.own_.granted_until_ = At(10'500);
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+  view.now_ = At(10'501);
+  for (NodeView& node : view.nodes_) {
+    node.last_heard_ = view.now_;
+  }
+  BOOST_TEST(DecideOwnershipChange(table, view).has_value());
+}
+
+// An earlier process of this node may have granted what this one knows nothing of.
+BOOST_AUTO_TEST_CASE(ARestartedNodeWaitsForGrantsOfItsFormerProcess) {
+  OwnershipView view = CalmView();
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b"), HolderAt("c")});
+  view.own_.holder_.reset();
+  view.own_.last_heartbeat_ = {};
+  view.own_.granted_until_ = {};
+  view.started_ = At(10'000) - kTakeoverWait;
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+  view.started_ -= milliseconds(1);
+  BOOST_TEST(DecideOwnershipChange(table, view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingUpstreamHandsAllKeysOver) {
+  OwnershipView view = CalmView();
+  view.own_.draining_ = true;
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_TEST(FirstRange(change).planned_);
+  for (const KeyRange& range : change->table_.ranges_) {
+    BOOST_TEST((range.owner_ == HolderAt("b") || range.successor_ != HolderAt("a")));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsDecidedWithoutTheStore) {
+  OwnershipView view = CalmView();
+  view.reaches_store_ = false;
+  view.own_.draining_ = true;
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  BOOST_TEST(!DecideOwnershipChange(table, view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnEmptyUpstreamGetsKeys) {
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  const auto change = DecideOwnershipChange(table, CalmView());
+  BOOST_REQUIRE(change.has_value());
+  bool moves_to_c = false;
+  for (const KeyRange& range : change->table_.ranges_) {
+    moves_to_c = moves_to_c || range.successor_ == HolderAt("c");
+  }
+  BOOST_TEST(moves_to_c);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibOwnership/test_table_changes.cc
@@ -0,0 +1,72 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibOwnership/ownership_fixtures.h"
+
+namespace sassafrasbay {
+namespace {
+
+std::vector<Candidate> Equal(const std::vector<std::string>& nodes) {
+  std::vector<Candidate> candidates;
+  for (const std::string& node : nodes) {
+    candidates.push_back({HolderAt(node), 18});
+  }
+  return candidates;
+}
+
+BOOST_AUTO_TEST_SUITE(TableChanges)
+
+BOOST_AUTO_TEST_CASE(TheFirstAssignmentSharesAllKeysByWeight) {
+  std::vector<Candidate> candidates = Equal({"a", "b", "c"});
+  candidates[2].weight_ = 36;
+  const KeyTable table = AssignUnowned({"lookup", 0, {}}, candidates);
+  BOOST_TEST(UnownedKeys(table).empty());
+  BOOST_TEST(table.ranges_.size() == 3);
+  const double heavy = OwnedKeys(table, HolderAt("c"));
+  BOOST_TEST(heavy > 0.45 * kLastShardKey);
+  BOOST_TEST(heavy < 0.55 * kLastShardKey);
+}
+
+// A fencing token that doesn't rise is refused by the upstream, or lets a former owner go on.
+BOOST_AUTO_TEST_CASE(EachNewOwnerGetsAHigherToken) {
+  KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  table.version_ = 7;
+  const KeyTable replaced = ReplaceOwner(table, HolderAt("a"), Equal({"b"}));
+  BOOST_TEST(FindRange(replaced, 0)->token_ == 8);
+  KeyTable moving = BeginMove(replaced, HolderAt("b"), {100, 199}, HolderAt("c"));
+  BOOST_TEST(FindRange(moving, 150)->token_ == 8);
+  const std::vector<ReleasedKeys> released = {{{100, 199}, "5c0e"}};
+  const KeyTable done = Release(moving, HolderAt("b"), released);
+  BOOST_TEST(FindRange(done, 150)->token_ == 10);
+  BOOST_TEST(FindRange(done, 150)->owner_.node_ == "c");
+  BOOST_TEST(FindRange(done, 150)->handover_ == "5c0e");
+  BOOST_TEST(FindRange(done, 99)->owner_.node_ == "b");
+}
+
+BOOST_AUTO_TEST_CASE(APartlyReleasedMoveGoesOn) {
+  KeyTable moving =
+      BeginMove(EvenTable({HolderAt("a"), HolderAt("b")}), HolderAt("a"), {100, 199}, HolderAt("b"));
+  const std::vector<ReleasedKeys> released = {{{100, 149}, "5c0e"}};
+  const KeyTable half = Release(moving, HolderAt("a"), released);
+  BOOST_TEST(FindRange(half, 149)->owner_.node_ == "b");
+  BOOST_TEST(FindRange(half, 150)->owner_.node_ == "a");
+  BOOST_TEST(FindRange(half, 150)->successor_.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyUnplannedChangesAreTakenBack) {
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  const KeyTable suspected = NameSuccessors(table, HolderAt("a"), Equal({"b"}), false);
+  BOOST_TEST(SameRanges(KeepRanges(suspected, HolderAt("a")), table));
+  const KeyTable planned = NameSuccessors(table, HolderAt("a"), Equal({"b"}), true);
+  BOOST_TEST(SameRanges(KeepRanges(planned, HolderAt("a")), planned));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutCandidatesNothingChanges) {
+  const KeyTable table = EvenTable({HolderAt("a")});
+  BOOST_TEST(SameRanges(ReplaceOwner(table, HolderAt("a"), {}), table));
+  BOOST_TEST(SameRanges(NameSuccessors(table, HolderAt("a"), {}, true), table));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
