--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -272,6 +272,24 @@
   return view.reachable_nodes_ * 2 < view.known_nodes_;
 }
 
+HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime confirmed,
+                             milliseconds longest) {
+  HeartbeatAnswer answer;
+  if (!view.own_.holder_ || view.own_.left_) {
+    return answer;
+  }
+  const Holder& holder = *view.own_.holder_;
+  // Ranges that others think lost are neither renewed nor given up before this node has decided.
+  if (HasUnplannedSuccessor(table, holder) && !IsIsolated(view)) {
+    return answer;
+  }
+  answer.length_ = GrantLength(confirmed, view.now_, longest);
+  if (answer.length_) {
+    answer.ranges_ = RangesToGrant(table, holder);
+  }
+  return answer;
+}
+
 Decision DecideOwnershipChange(const KeyTable& table, const OwnershipView& view) {
   if (!view.reaches_store_) {
     return std::nullopt;
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/clock.h"
 #include "LibOwnership/balance_plan.h"
+#include "LibOwnership/heartbeat.h"
 #include "LibOwnership/hold_rules.h"
 #include "LibOwnership/key_table.h"
 #include "LibOwnership/table_changes.h"
@@ -93,6 +94,11 @@
 /// are of little use to callers elsewhere.
 bool IsIsolated(const OwnershipView& view);
 
+/// What the answer to a heartbeat of this node's upstream may grant. `confirmed` is when the table
+/// was last known to be the newest; `longest` is the upstream's bound on one grant.
+HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime confirmed,
+                             milliseconds longest);
+
 /// The change that this node has to write now, if any. One at a time: the next is decided on the
 /// table that results.
 std::optional<OwnershipChange> DecideOwnershipChange(const KeyTable& table,
--- a/Services/sassafrasbay/router/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -1,4 +1,4 @@
-#include "router/upstream_registry.h"
+#include "LibOwnership/upstream_registry.h"
 
 #include <algorithm>
 #include <utility>
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -22,6 +22,13 @@
 /// Interval of decisions that no event triggers, such as the end of a wait.
 constexpr milliseconds kDecisionInterval{100};
 
+/// Time that a read waits at the store. Calls are paid for. Two nodes read often and confirm to the
+/// others that the tables are the newest, which grants depend on; reports show the others within a
+/// quarter of a second when a read has gone silent.
+constexpr milliseconds kOftenReadWait{1000};
+constexpr milliseconds kSeldomReadWait{4000};
+constexpr std::size_t kOftenReaders = 2;
+
 /// The answer to a heartbeat may be this late while a range is about to arrive: an upstream takes an
 /// answer up to a second late, and sooner than with its next heartbeat.
 constexpr milliseconds kLongestHold{700};
@@ -68,13 +75,14 @@
       client_(loop_, kStoreConnections),
       store_(client_, shared.environment_.store_),
       operator_topic_(loop_, store_, std::string(platform::kOperatorTopic),
+                      kSeldomReadWait,
                       {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        [](BootTime) {}, [](bool) {}}),
-      fleet_topic_(loop_, store_, std::string(kFleetTopic),
+      fleet_topic_(loop_, store_, std::string(kFleetTopic), kOftenReadWait,
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
                     [this](BootTime asked) { OnTablesCurrent(asked); },
                     [this](bool reached) { shared_.reaches_store_ = reached; }}),
-      keeper_(loop_, store_),
+      keeper_(store_),
       life_(RandomId()) {
   registry_.self_ = shared_.self_;
 }
@@ -96,6 +104,7 @@
   operator_topic_.Start();
   fleet_topic_.Start();
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
+    ChooseReadWait();
     Decide();
     AnswerHeldBeats();
   });
@@ -326,12 +335,11 @@
 }
 
 // Waiting pays when the ranges are about to change in the upstream's favour.
-bool ControlThread::ShouldHold(BootTime now) const {
+bool ControlThread::ShouldHold() const {
   const KeyTable* table = OwnTable();
   if (table == nullptr || !registry_.own_.holder_ || registry_.own_.left_) {
     return false;
   }
-  static_cast<void>(now);
   return std::any_of(table->ranges_.begin(), table->ranges_.end(), [&](const KeyRange& range) {
     if (!range.successor_) {
       return false;
@@ -342,24 +350,18 @@
   });
 }
 
-HeartbeatAnswer ControlThread::MakeAnswer(BootTime now) const {
+HeartbeatAnswer ControlThread::MakeAnswer() const {
   HeartbeatAnswer answer;
   const KeyTable* table = OwnTable();
   if (table == nullptr || !registered_ || registry_.own_.left_) {
     return answer;
   }
-  const Holder& holder = *registry_.own_.holder_;
-  const OwnershipView view = MakeView(table->service_);
-  if (keeper_.MayLoseRanges(holder, fleet_topic_.End()) ||
-      (HasUnplannedSuccessor(*table, holder) && !IsIsolated(view))) {
+  if (keeper_.MayLoseRanges(*registry_.own_.holder_, fleet_topic_.End())) {
     return answer;
   }
-  answer.length_ = GrantLength(FromNanoseconds(shared_.tables_confirmed_ns_), now,
-                               shared_.environment_.longest_grant_);
-  if (answer.length_) {
-    answer.ranges_ = RangesToGrant(*table, holder);
-  }
-  return answer;
+  return DecideAnswer(*table, MakeView(table->service_),
+                      FromNanoseconds(shared_.tables_confirmed_ns_),
+                      shared_.environment_.longest_grant_);
 }
 
 void ControlThread::AnswerHeldBeats() {
@@ -368,11 +370,11 @@
   }
   const BootTime now = BootClock::now();
   const bool overdue = now - held_beats_.front().received_ > kLongestHold;
-  if (ShouldHold(now) && !overdue) {
+  if (ShouldHold() && !overdue) {
     return;
   }
   // Only the newest heartbeat is answered with a grant; an older one has been given up.
-  const HeartbeatAnswer answer = MakeAnswer(now);
+  const HeartbeatAnswer answer = MakeAnswer();
   const bool granted = answer.length_.has_value();
   NoteGrant(registry_, answer, now);
   for (std::size_t i = 0; i < held_beats_.size(); ++i) {
@@ -425,6 +427,16 @@
   return view;
 }
 
+void ControlThread::ChooseReadWait() {
+  const BootTime now = BootClock::now();
+  const auto lower = static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+        return peer.first < shared_.self_ && peer.second.report_.reaches_store_ &&
+               now - peer.second.received_ < kSuspectAfter;
+      }));
+  fleet_topic_.SetWait(lower < kOftenReaders ? kOftenReadWait : kSeldomReadWait);
+}
+
 void ControlThread::Decide() {
   if (routes_ == nullptr || !registered_) {
     return;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "LibOwnership/upstream_registry.h"
 #include "LibTransport/http_client.h"
 #include "LibTransport/http_server.h"
 #include "LibTransport/reactor_loop.h"
@@ -13,7 +14,6 @@
 #include "router/ownership_keeper.h"
 #include "router/router_state.h"
 #include "router/topic_follower.h"
-#include "router/upstream_registry.h"
 
 namespace sassafrasbay {
 
@@ -51,11 +51,12 @@
   void OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange, std::string_view instance);
   void OnLeave(std::string_view instance);
   void AnswerHeldBeats();
-  HeartbeatAnswer MakeAnswer(BootTime now) const;
-  bool ShouldHold(BootTime now) const;
+  HeartbeatAnswer MakeAnswer() const;
+  bool ShouldHold() const;
   const KeyTable* OwnTable() const;
   OwnershipView MakeView(const std::string& service) const;
   void Decide();
+  void ChooseReadWait();
   void Register();
   void Publish();
   void ScheduleUpdate();
--- a/Services/sassafrasbay/router/ownership_keeper.cc
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -19,8 +19,7 @@
 
 }  // namespace
 
-OwnershipKeeper::OwnershipKeeper(ReactorLoop& loop, RecordStore& store)
-    : loop_(loop), store_(store) {}
+OwnershipKeeper::OwnershipKeeper(RecordStore& store) : store_(store) {}
 
 void OwnershipKeeper::Decide(const KeyTable& table, std::uint64_t end, OwnershipView view) {
   if (open_ && end > open_->at_) {
@@ -45,6 +44,7 @@
   }
   open_ = OpenWrite{end, table, change->table_};
   in_flight_ = true;
+  decided_at_ = view.now_;
   store_.Append(kFleetTopic,
                 {0, std::string(kTablePrefix) + table.service_, EncodeKeyTable(change->table_)},
                 end, [this, reason = change->reason_](Result<std::uint64_t> offset) {
@@ -54,7 +54,7 @@
 
 void OwnershipKeeper::OnWritten(const std::string& reason, Result<std::uint64_t> offset) {
   in_flight_ = false;
-  const BootTime now = BootClock::now();
+  const BootTime now = decided_at_;
   if (offset) {
     // The follower reads the record before the next decision on this table.
     pause_until_ = now + kPauseAfterConflict;
--- a/Services/sassafrasbay/router/ownership_keeper.h
+++ b/Services/sassafrasbay/router/ownership_keeper.h
@@ -8,7 +8,6 @@
 
 #include "LibControl/record_store.h"
 #include "LibOwnership/ownership_decision.h"
-#include "LibTransport/reactor_loop.h"
 
 namespace sassafrasbay {
 
@@ -20,7 +19,7 @@
 /// Writes the changes of the key tables that this node decides on, one at a time.
 class OwnershipKeeper {
  public:
-  OwnershipKeeper(ReactorLoop& loop, RecordStore& store);
+  explicit OwnershipKeeper(RecordStore& store);
   OwnershipKeeper(const OwnershipKeeper&) = delete;
   OwnershipKeeper& operator=(const OwnershipKeeper&) = delete;
 
@@ -45,12 +44,12 @@
 
   void OnWritten(const std::string& reason, Result<std::uint64_t> offset);
 
-  ReactorLoop& loop_;
   RecordStore& store_;
   std::map<ChangeKey, BootTime> first_read_;
   std::map<Holder, BootTime> kept_;  ///< When a node took back ranges that others thought lost.
   std::optional<OpenWrite> open_;
   bool in_flight_ = false;
+  BootTime decided_at_{};  ///< Of the newest write.
   BootTime pause_until_{};
   BootTime last_balance_{};
 };
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -10,18 +10,19 @@
 
 constexpr std::string_view kPart = "store";
 
-/// Time that a read waits at the store for a new record. Each answer also confirms that the tables
-/// are the newest, which holds depend on, and shows that the connection is alive.
-constexpr milliseconds kReadWait{1000};
-
 /// Pause after a failed call, doubled with each further one.
 constexpr milliseconds kFirstPause{100};
 constexpr milliseconds kLongestPause{800};
 
 }  // namespace
 
-TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, Hooks hooks)
-    : loop_(loop), store_(store), topic_(std::move(topic)), hooks_(std::move(hooks)) {}
+TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic,
+                             milliseconds wait, Hooks hooks)
+    : loop_(loop),
+      store_(store),
+      topic_(std::move(topic)),
+      wait_(wait),
+      hooks_(std::move(hooks)) {}
 
 TopicFollower::~TopicFollower() { loop_.CancelTimer(timer_); }
 
@@ -93,7 +94,7 @@
   if (complete) {
     hooks_.on_current_(asked);
   }
-  ReadOn(complete ? kReadWait : milliseconds(0));
+  ReadOn(complete ? wait_ : milliseconds(0));
 }
 
 void TopicFollower::RetryLater(const Error& error) {
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -25,13 +25,17 @@
     std::function<void(bool reached)> on_reached_;
   };
 
-  TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, Hooks hooks);
+  TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, milliseconds wait,
+                Hooks hooks);
   ~TopicFollower();
   TopicFollower(const TopicFollower&) = delete;
   TopicFollower& operator=(const TopicFollower&) = delete;
 
   void Start();
 
+  /// Time that a read waits at the store for a new record, from the next read on.
+  void SetWait(milliseconds wait) { wait_ = wait; }
+
   /// Offset up to which all records are known; the next record gets it, as far as is known.
   std::uint64_t End() const { return end_; }
   bool IsReached() const { return reached_; }
@@ -54,6 +58,7 @@
   ReactorLoop& loop_;
   RecordStore& store_;
   std::string topic_;
+  milliseconds wait_;
   Hooks hooks_;
   std::uint64_t end_ = 0;
   std::uint64_t round_ = 0;  ///< Answers of earlier rounds are ignored.
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -20,8 +20,9 @@
 /// Nodes that get the reports on demand.
 constexpr std::size_t kPlanners = 2;
 
-/// Pause before the same node is sent the whole state again.
-constexpr milliseconds kStatePause{500};
+/// Time for which a node may lag behind before it is sent the whole state, and again after that. A
+/// node that reaches the store is faster by itself.
+constexpr milliseconds kStatePause{600};
 
 /// After SIGTERM, callers learn from two failed readiness checks, one second apart, to stay away.
 constexpr milliseconds kCallersLeave{2300};
@@ -192,11 +193,15 @@
       snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
   const bool lags = report.configuration_version_ < version ||
                     report.tables_end_ < snapshot_->tables_end_;
-  BootTime& sent = state_sent_[report.address_];
-  if (!lags || report.reaches_store_ || facts.received_ - sent < kStatePause) {
+  if (!lags) {
+    lags_since_.erase(report.address_);
     return;
   }
-  sent = facts.received_;
+  BootTime& since = lags_since_.try_emplace(report.address_, facts.received_).first->second;
+  if (facts.received_ - since < kStatePause) {
+    return;
+  }
+  since = facts.received_;
   StateTransfer state;
   state.configuration_ = snapshot_->configuration_text_;
   state.tables_end_ = snapshot_->tables_end_;
@@ -288,10 +293,15 @@
 void TrafficThread::EndWhenIdle(BootTime earliest, BootTime latest,
                                 const std::function<void()>& done) {
   const BootTime now = BootClock::now();
+  // Callers may go on coming when few nodes of a data centre are ready. From here on new connections
+  // are refused and the gate takes nothing new, so that the rest can end.
+  if (now > earliest) {
+    callers_->StopAccepting();
+    gate_.StopTaking();
+  }
   const bool idle = router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0;
   if (now > latest || (now > earliest && idle)) {
     LogInfo(kPart, std::string("leaving idle=") + (idle ? "true." : "false."));
-    callers_->StopAccepting();
     done();
     return;
   }
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -66,7 +66,8 @@
 }
 
 bool UpstreamGate::IsUsable() const {
-  return upstream_ != nullptr && upstream_->takes_requests_ && BootClock::now() > refused_until_;
+  return !stopped_ && upstream_ != nullptr && upstream_->takes_requests_ &&
+         BootClock::now() > refused_until_;
 }
 
 GateLoad UpstreamGate::Load() const {
@@ -264,7 +265,7 @@
   }
   while (const auto next = TakeWaiting(queue_, now)) {
     const RefusalReason reason = Check(open_.at(next->number_).request_);
-    if (reason == RefusalReason::kNone) {
+    if (reason == RefusalReason::kNone || stopped_) {
       Run(next->number_);
       continue;
     }
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -47,6 +47,9 @@
   void OnSuspect(const Suspect& suspect);
   bool IsRefused(std::uint64_t fingerprint) const;
 
+  /// Refuses new requests from now on, as the process is about to end.
+  void StopTaking() { stopped_ = true; }
+
   GateLoad Load() const;
   /// Demand for keys since some seconds, decayed; nothing when no keys are asked for.
   std::optional<DemandReport> Demand();
@@ -86,6 +89,7 @@
   std::vector<std::pair<std::uint64_t, BootTime>> broken_;
   BootTime refused_until_{};  ///< The upstream's port refused a connection.
   Number last_number_ = 0;
+  bool stopped_ = false;
 };
 
 }  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/Services/ownership_model.cc
@@ -0,0 +1,368 @@
+#include "ownership_model.h"
+
+#include <algorithm>
+
+#include "LibOwnership/key_table_codec.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr int kNodes = 4;
+constexpr milliseconds kStep{20};
+constexpr milliseconds kBeatInterval{870};
+constexpr ShardKey kKeyStep = 1024;
+constexpr std::int64_t kUnixOffsetMs = 1'700'000'000'000;
+
+milliseconds SinceBoot(BootTime time) {
+  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+}
+
+}  // namespace
+
+void ModelStore::Append(std::string_view, const KeyedRecord& record,
+                        std::optional<std::uint64_t> at,
+                        std::function<void(Result<std::uint64_t>)> callback) {
+  const auto answer = [this, callback](milliseconds delay, Result<std::uint64_t> result) {
+    events_.push_back({now_ + delay, [callback, result] { callback(result); }});
+  };
+  const Error lost = MakeError(Errc::kTimedOut, "append record", "store", {});
+  const auto draw = random_() % 100;
+  if (is_down_) {
+    answer(milliseconds(40), MakeError(Errc::kUnavailable, "append record", "store", {}));
+  } else if (draw < 70) {
+    const std::uint64_t offset = records_.size();
+    if (TakeEffect(record, at)) {
+      answer(milliseconds(20), offset);
+    } else {
+      answer(milliseconds(20), MakeError(Errc::kConflict, "append record", "store", {}));
+    }
+  } else if (draw < 80) {
+    TakeEffect(record, at);
+    answer(milliseconds(1500), lost);
+  } else if (draw < 95) {
+    events_.push_back({now_ + milliseconds(1000 + static_cast<int>(random_() % 8000)),
+                       [this, record, at] { TakeEffect(record, at); }});
+    answer(milliseconds(1500), lost);
+  } else {
+    answer(milliseconds(1500), lost);
+  }
+}
+
+bool ModelStore::TakeEffect(const KeyedRecord& record, std::optional<std::uint64_t> at) {
+  if (at && *at != records_.size()) {
+    return false;
+  }
+  records_.push_back(record);
+  records_.back().offset_ = records_.size() - 1;
+  return true;
+}
+
+void ModelStore::Advance(BootTime now) {
+  now_ = now;
+  std::vector<Event> due;
+  std::erase_if(events_, [&](const Event& event) {
+    if (event.due_ > now) {
+      return false;
+    }
+    due.push_back(event);
+    return true;
+  });
+  for (const Event& event : due) {
+    event.run_();
+  }
+}
+
+OwnershipModel::OwnershipModel(std::uint64_t seed)
+    : random_(seed), now_(std::chrono::minutes(10)), store_(random_) {
+  highest_token_.resize(kLastShardKey / kKeyStep + 1);
+  last_holder_.resize(highest_token_.size());
+  nodes_.resize(kNodes);
+  for (int i = 0; i < kNodes; ++i) {
+    ModelNode& node = nodes_[static_cast<std::size_t>(i)];
+    node.address_ = "node-" + std::to_string(i);
+    node.upstream_.born_at_ = now_;
+    node.upstream_.next_beat_ = now_ + Between(0, 870);
+    Restart(node);
+  }
+}
+
+bool OwnershipModel::Chance(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+}
+
+milliseconds OwnershipModel::Between(int from, int to) {
+  return milliseconds(std::uniform_int_distribution<int>(from, to)(random_));
+}
+
+// A new process knows nothing, registers, and decides nothing before it has read its registration.
+void OwnershipModel::Restart(ModelNode& node) {
+  node.running_ = true;
+  node.started_ = now_;
+  node.read_to_ = 0;
+  node.registered_at_ = 0;
+  node.table_ = KeyTable{"lookup", 0, {}};
+  node.confirmed_ = {};
+  node.registry_ = UpstreamRegistry{};
+  node.registry_.self_ = node.address_;
+  node.keeper_ = std::make_unique<OwnershipKeeper>(store_);
+}
+
+std::string OwnershipModel::Run(milliseconds duration) {
+  const BootTime end = now_ + duration;
+  while (now_ < end && broken_.empty()) {
+    now_ += kStep;
+    store_.Advance(now_);
+    if (Chance(0.012)) {
+      Fault();
+    }
+    for (ModelNode& node : nodes_) {
+      StepNode(node);
+      StepUpstream(node);
+    }
+    Check();
+  }
+  return broken_;
+}
+
+void OwnershipModel::Fault() {
+  ModelNode& node = nodes_[random_() % nodes_.size()];
+  switch (random_() % 8) {
+    case 0:
+      // Calls of the dead process may still take effect, but nobody hears their answers; the keeper
+      // is kept until then because the model's store holds references to it.
+      node.running_ = false;
+      node.answers_.clear();
+      node.restart_at_ = now_ + Between(300, 5000);
+      break;
+    case 1:
+      node.frozen_until_ = now_ + Between(500, 9000);
+      break;
+    case 2:
+      node.no_store_until_ = now_ + Between(500, 12000);
+      break;
+    case 3:
+      node.no_peers_until_ = now_ + Between(500, 12000);
+      break;
+    case 4:
+      node.no_store_until_ = node.no_peers_until_ = now_ + Between(500, 14000);
+      break;
+    case 5:
+      node.upstream_.born_at_.reset();
+      node.upstream_.next_beat_ = now_ + Between(200, 4000);
+      break;
+    case 6:
+      node.upstream_.beat_.draining_ = true;
+      break;
+    default:
+      store_.is_down_ = !store_.is_down_ && Chance(0.5);
+  }
+}
+
+void OwnershipModel::ReadStore(ModelNode& node) {
+  if (store_.is_down_ || now_ < node.no_store_until_ || Chance(0.3)) {
+    return;
+  }
+  // An answer says what was true when the store made it, some time ago.
+  const bool slow = Chance(0.3);
+  const BootTime asked = now_ - (slow ? Between(20, 900) : milliseconds(20));
+  for (; node.read_to_ < store_.records_.size(); ++node.read_to_) {
+    const KeyedRecord& record = store_.records_[node.read_to_];
+    if (!record.key_.starts_with(kTablePrefix)) {
+      continue;
+    }
+    KeyTable table = DecodeKeyTable(record.value_).value();
+    if (table.version_ > node.table_.version_) {
+      node.keeper_->OnTable(node.table_, table, now_);
+      node.table_ = std::move(table);
+    }
+  }
+  node.confirmed_ = std::max(node.confirmed_, asked);
+  if (node.registered_at_ == 0) {
+    store_.records_.push_back({store_.records_.size(), std::string(kNodePrefix), "{}"});
+    node.registered_at_ = store_.records_.size();
+  }
+}
+
+bool OwnershipModel::Reaches(const ModelNode& left, const ModelNode& right) const {
+  const auto up = [&](const ModelNode& node) {
+    return node.running_ && now_ >= node.frozen_until_ && now_ >= node.no_peers_until_;
+  };
+  return up(left) && up(right);
+}
+
+OwnershipView OwnershipModel::View(const ModelNode& node) const {
+  OwnershipView view;
+  view.self_ = node.address_;
+  view.now_ = now_;
+  view.started_ = node.started_;
+  view.own_ = node.registry_.own_;
+  view.reaches_store_ = now_ >= node.no_store_until_ && !store_.is_down_ &&
+                        now_ - node.confirmed_ < milliseconds(2000);
+  view.known_nodes_ = nodes_.size();
+  for (const ModelNode& other : nodes_) {
+    if (other.address_ == node.address_ || !Reaches(node, other)) {
+      continue;
+    }
+    NodeView peer;
+    peer.address_ = other.address_;
+    peer.last_heard_ = now_;
+    peer.reaches_store_ = now_ >= other.no_store_until_;
+    const OwnUpstream& own = other.registry_.own_;
+    if (own.holder_ && !own.draining_ && !own.left_ && !own.gone_) {
+      peer.upstream_ = Candidate{*own.holder_, own.slots_};
+    }
+    view.nodes_.push_back(std::move(peer));
+    ++view.reachable_nodes_;
+  }
+  return view;
+}
+
+void OwnershipModel::StepNode(ModelNode& node) {
+  if (!node.running_) {
+    if (now_ < node.restart_at_) {
+      return;
+    }
+    // The former process's keeper may still be called by the store; it is leaked into the record of
+    // pending calls by keeping it alive there.
+    static_cast<void>(node.keeper_.release());  // NOLINT: a call of the dead process may refer to it
+    Restart(node);
+  }
+  if (now_ < node.frozen_until_) {
+    return;
+  }
+  ReadStore(node);
+  for (const ModelNode& other : nodes_) {
+    if (Reaches(node, other) && other.read_to_ == node.read_to_ && Chance(0.1)) {
+      node.confirmed_ = std::max(node.confirmed_, other.confirmed_ - milliseconds(20));
+    }
+  }
+  if (now_ < node.next_decision_ || node.registered_at_ == 0 ||
+      node.read_to_ < node.registered_at_) {
+    return;
+  }
+  node.next_decision_ = now_ + milliseconds(100);
+  node.keeper_->Decide(node.table_, node.read_to_, View(node));
+}
+
+void OwnershipModel::Beat(ModelNode& node) {
+  ModelUpstream& upstream = node.upstream_;
+  ++upstream.beat_.sequence_;
+  upstream.next_beat_ = now_ + kBeatInterval;
+  if (!node.running_ || now_ < node.frozen_until_) {
+    return;
+  }
+  UpstreamHeartbeat beat = upstream.beat_;
+  if (now_ >= upstream.held_until_) {
+    beat.held_.clear();
+  }
+  beat.released_ = upstream.released_;
+  if (NoteHeartbeat(node.registry_, beat, now_) == HeartbeatNews::kOutdated) {
+    return;
+  }
+  HeartbeatAnswer answer;
+  const bool registered = node.registered_at_ > 0 && node.read_to_ >= node.registered_at_;
+  if (registered &&
+      !node.keeper_->MayLoseRanges(*node.registry_.own_.holder_, node.read_to_)) {
+    answer = DecideAnswer(node.table_, View(node), node.confirmed_, milliseconds(10'000));
+  }
+  NoteGrant(node.registry_, answer, now_);
+  node.answers_.push_back({now_ + (Chance(0.1) ? Between(0, 900) : milliseconds(0)), now_,
+                           beat.born_ms_, answer});
+}
+
+void OwnershipModel::Apply(ModelNode& node, const ModelAnswer& answer) {
+  ModelUpstream& upstream = node.upstream_;
+  if (!upstream.born_at_ || answer.born_ms_ != upstream.beat_.born_ms_) {
+    return;
+  }
+  upstream.released_.clear();
+  if (!answer.answer_.length_) {
+    return;
+  }
+  const std::vector<HeldRange> before =
+      now_ < upstream.held_until_ ? upstream.beat_.held_ : std::vector<HeldRange>{};
+  bool released_any = false;
+  for (const HeldRange& held : before) {
+    for (const KeySpan& left : KeysNotHeld(held.keys_, answer.answer_.ranges_)) {
+      upstream.released_.push_back({left, "handover"});
+      released_any = true;
+    }
+  }
+  upstream.beat_.held_ = answer.answer_.ranges_;
+  // Its clock runs 2% slow, so that the grant lasts longer in real time.
+  upstream.held_until_ =
+      answer.beat_sent_ + milliseconds(answer.answer_.length_->count() * 102 / 100);
+  if (released_any) {
+    upstream.next_beat_ = std::min(upstream.next_beat_, now_ + milliseconds(100));
+  }
+}
+
+void OwnershipModel::StepUpstream(ModelNode& node) {
+  ModelUpstream& upstream = node.upstream_;
+  if (!upstream.born_at_) {
+    if (now_ < upstream.next_beat_) {
+      return;
+    }
+    upstream = ModelUpstream{};
+    node.answers_.clear();
+    upstream.born_at_ = now_;
+  }
+  if (upstream.beat_.born_ms_ == 0) {
+    upstream.beat_.born_ms_ = kUnixOffsetMs + SinceBoot(now_).count();
+    upstream.beat_.instance_ = node.address_ + "-" + std::to_string(upstream.beat_.born_ms_);
+    upstream.beat_.slots_ = 18;
+    upstream.beat_.service_ = "lookup";
+  }
+  for (const ModelAnswer& answer : node.answers_) {
+    if (answer.arrives_ <= now_) {
+      Apply(node, answer);
+    }
+  }
+  std::erase_if(node.answers_, [&](const ModelAnswer& answer) { return answer.arrives_ <= now_; });
+  // One heartbeat at a time: the next one waits for the answer.
+  if (now_ >= upstream.next_beat_ && node.answers_.empty()) {
+    Beat(node);
+  }
+}
+
+void OwnershipModel::Check() {
+  for (std::size_t i = 0; i < highest_token_.size(); ++i) {
+    const auto key = static_cast<ShardKey>(i * kKeyStep);
+    std::string holder;
+    std::uint64_t token = 0;
+    for (const ModelNode& node : nodes_) {
+      if (!node.upstream_.born_at_ || now_ >= node.upstream_.held_until_) {
+        continue;
+      }
+      for (const HeldRange& held : node.upstream_.beat_.held_) {
+        if (key < held.keys_.first_ || key > held.keys_.last_) {
+          continue;
+        }
+        if (!holder.empty()) {
+          broken_ = "key " + std::to_string(key) + " is held by " + holder + " and " +
+                    node.upstream_.beat_.instance_;
+        }
+        holder = node.upstream_.beat_.instance_;
+        token = held.token_;
+      }
+    }
+    ++samples_;
+    if (holder.empty()) {
+      continue;
+    }
+    ++held_samples_;
+    const bool same = holder == last_holder_[i];
+    if (token < highest_token_[i] || (!same && token == highest_token_[i])) {
+      broken_ = "key " + std::to_string(key) + " came to " + holder + " with token " +
+                std::to_string(token) + ", not above " + std::to_string(highest_token_[i]);
+    }
+    highest_token_[i] = token;
+    last_holder_[i] = holder;
+  }
+}
+
+double OwnershipModel::HeldShare() const {
+  return static_cast<double>(held_samples_) / static_cast<double>(std::max<std::uint64_t>(1, samples_));
+}
+
+}  // namespace sassafrasbay
