--- /dev/null
+++ b/Tests/platform/store_stand_in.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibControl/record_store.h"
+#include "LibTransport/http_server.h"
+#include "LibTransport/reactor_loop.h"
+
+namespace sassafrasbay::stand_ins {
+
+/// How the store treats the next calls.
+enum class StoreFault {
+  kNone,
+  kRefuse,      ///< Answers with `refusal_status_`; nothing is done.
+  kSilent,      ///< Never answers; nothing is done.
+  kLoseAnswer,  ///< Does what is asked and never answers.
+};
+
+/// The platform's store, written from its published protocol: keyed topics with conditional appends.
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(ReactorLoop& loop);
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(server_->Port()); }
+
+  /// Appends as the operator, who isn't subject to faults.
+  void Append(std::string_view topic, std::string_view key, std::string_view value);
+
+  /// Removes all records of a topic but the newest of each key.
+  void Compact(std::string_view topic);
+
+  StoreFault fault_ = StoreFault::kNone;
+  int refusal_status_ = 503;
+  std::size_t page_ = 500;  ///< Records in one page of newest records.
+  std::uint64_t calls_ = 0;
+
+ private:
+  struct Topic {
+    std::uint64_t first_ = 0;  ///< First retained offset.
+    std::vector<KeyedRecord> records_;  ///< From `first_` on.
+    std::map<std::string, KeyedRecord> newest_;
+    std::uint64_t End() const { return first_ + records_.size(); }
+  };
+  struct Waiting {
+    std::shared_ptr<HttpExchange> exchange_;
+    std::string topic_;
+    std::uint64_t from_ = 0;
+    BootTime until_{};
+  };
+
+  void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  HttpResponse OnAppend(const HttpRequest& request);
+  HttpResponse OnNewest(const HttpRequest& request);
+  void OnRead(const std::shared_ptr<HttpExchange>& exchange);
+  HttpResponse ReadResponse(const Topic& topic, std::uint64_t from) const;
+  void AnswerWaiting();
+  void Store(Topic& topic, KeyedRecord record);
+
+  ReactorLoop& loop_;
+  std::unique_ptr<HttpServer> server_;
+  std::map<std::string, Topic, std::less<>> topics_;
+  std::deque<Waiting> waiting_;
+  std::vector<std::shared_ptr<HttpExchange>> unanswered_;
+};
+
+}  // namespace sassafrasbay::stand_ins
--- /dev/null
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -0,0 +1,82 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/duration_text.h"
+#include "platform/heartbeat_codec.h"
+
+namespace sassafrasbay::platform {
+namespace {
+
+constexpr std::string_view kBeat =
+    R"({"addr":"10.1.0.9:8080","born":1700000000123,
+        "info":{"service":"s1","version":"v1","zone":"z","capacity":13},
+        "status":{"state":"ready","sequence":4,"cold-left":"250ms"},
+        "holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})";
+
+BOOST_AUTO_TEST_SUITE(Heartbeats)
+
+BOOST_AUTO_TEST_CASE(ReadsAHeartbeat) {
+  const auto beat = DecodeHeartbeat("i-1", kBeat);
+  BOOST_REQUIRE(beat.has_value());
+  BOOST_TEST(beat.value().instance_ == "i-1");
+  BOOST_TEST(beat.value().born_ms_ == 1700000000123);
+  BOOST_TEST(beat.value().slots_ == 13);
+  BOOST_TEST(!beat.value().draining_);
+  BOOST_TEST((beat.value().cold_left_ == milliseconds(250)));
+  BOOST_REQUIRE(beat.value().held_.size() == 1);
+  BOOST_TEST(beat.value().held_[0].token_ == 7);
+  BOOST_REQUIRE(beat.value().released_.size() == 1);
+  BOOST_TEST(beat.value().released_[0].handover_ == "5c0e");
+}
+
+// A heartbeat of another writer names no upstream.
+BOOST_AUTO_TEST_CASE(RefusesFieldsThatAreMissingMistypedOrUnknown) {
+  const auto with = [](std::string_view from, std::string_view to) {
+    std::string text(kBeat);
+    text.replace(text.find(from), from.size(), to);
+    return text;
+  };
+  for (const std::string& text :
+       {std::string(), std::string("null"), std::string("{\"addr\":1}"),
+        with("\"ready\"", "\"resting\""), with("1700000000123", "1700000000123.5"),
+        with("1700000000123", "\"1700000000123\""), with("\"service\":\"s1\",", ""),
+        with("\"sequence\":4", "\"sequence\":\"4\""), with("[0,4095,7]", "[4095,0,7]"),
+        with("[0,4095,7]", "[0,65536,7]"), with("[0,4095,7]", "[0,4095]")}) {
+    BOOST_TEST(!DecodeHeartbeat("i-1", text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutALengthRenewsNothing) {
+  BOOST_TEST(EncodeHeartbeatAnswer({}) == "{}");
+  HeartbeatAnswer answer;
+  answer.length_ = milliseconds(4000);
+  BOOST_TEST(EncodeHeartbeatAnswer(answer) == R"({"hold_time":"4000ms","holds":[]})");
+  answer.ranges_ = {{{0, 9}, 7, "ab"}};
+  BOOST_TEST(EncodeHeartbeatAnswer(answer) ==
+             R"({"hold_time":"4000ms","holds":[[0,9,7,"ab"]]})");
+}
+
+BOOST_AUTO_TEST_CASE(ReadsThePathsOfInstanceCalls) {
+  const auto beat = ParseInstancePath("/-/instances/i-1/heartbeat");
+  BOOST_REQUIRE(beat.has_value());
+  BOOST_TEST(beat->instance_ == "i-1");
+  BOOST_TEST(!beat->leaves_);
+  BOOST_TEST(ParseInstancePath("/-/instances/i-1/leave")->leaves_);
+  for (const std::string_view path :
+       {"/-/instances/i-1", "/-/instances//leave", "/-/instances/i-1/other", "/-/ready", "/"}) {
+    BOOST_TEST(!ParseInstancePath(path).has_value(), path);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsDurations) {
+  BOOST_TEST((ParseDuration("1500ms") == milliseconds(1500)));
+  BOOST_TEST((ParseDuration("2.5s") == milliseconds(2500)));
+  for (const std::string_view text : {"", "ms", "5", "-1s", "1 s", "1sx", "1e400s", "nans"}) {
+    BOOST_TEST(!ParseDuration(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay::platform
--- /dev/null
+++ b/Tests/platform/test_node_environment.cc
@@ -0,0 +1,57 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/node_environment.h"
+
+namespace sassafrasbay::platform {
+namespace {
+
+constexpr std::string_view kSettings = R"(node = "vm-1"
+ip = "10.1.0.8"
+zone = "hu-central-a"
+port-range = [7620,7635]
+beat-interval = "870ms"
+bounds = ["grace-period=6s","retry-ratio=0.2","budget-slack=62","hold-max=10000ms"]
+app-addr = "10.1.0.8:8301"
+service = "s1"
+new-field = [1, 2]
+[listen-addrs]
+outbound-addr = "10.1.0.8:8304"
+ready-addr = "10.1.0.8:8302"
+control-addr = "10.1.0.8:8306"
+[platform]
+addr = "10.200.1.7:8309"
+)";
+
+BOOST_AUTO_TEST_SUITE(Environment)
+
+BOOST_AUTO_TEST_CASE(ReadsTheSettings) {
+  const auto environment = DecodeNodeEnvironment("node.toml", kSettings);
+  BOOST_REQUIRE(environment.has_value());
+  BOOST_TEST(environment.value().callers_.port_ == 8304);
+  BOOST_TEST(environment.value().peers_.host_ == "10.1.0.8");
+  BOOST_TEST(environment.value().peers_.port_ == 7620);
+  BOOST_TEST((environment.value().heartbeat_interval_ == milliseconds(870)));
+  BOOST_TEST((environment.value().grace_ == milliseconds(6000)));
+  BOOST_TEST(environment.value().retry_slack_ == 62);
+  BOOST_TEST((environment.value().longest_grant_ == milliseconds(10000)));
+}
+
+BOOST_AUTO_TEST_CASE(NamesAllFaultsAtOnce) {
+  std::string text(kSettings);
+  text.replace(text.find("\"870ms\""), 7, "870");
+  text.replace(text.find("10.1.0.8:8304"), 13, "10.1.0.8");
+  const auto environment = DecodeNodeEnvironment("node.toml", text);
+  BOOST_REQUIRE(!environment.has_value());
+  BOOST_TEST(environment.error().detail_.find("beat-interval") != std::string::npos);
+  BOOST_TEST(environment.error().detail_.find("outbound-addr") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesTextThatIsNoToml) {
+  BOOST_TEST(!DecodeNodeEnvironment("node.toml", "node = [").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay::platform
--- /dev/null
+++ b/Tests/platform/test_request_translation.cc
@@ -0,0 +1,82 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/request_translation.h"
+
+namespace sassafrasbay::platform {
+namespace {
+
+HttpRequest Request() {
+  return {"GET",
+          "/a/1?x=2",
+          {{"Host", "lookup.example"},
+           {"X-Request-Id", "9c41"},
+           {"X-Deadline-Ms", "500"},
+           {"X-Shard-Key", "65535"},
+           {"X-Caller-Service", "forged"},
+           {"X-Expect-Instance", "forged"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"Transfer-Encoding", "chunked"},
+           {"X-Other", "kept"}},
+          "body"};
+}
+
+BOOST_AUTO_TEST_SUITE(Requests)
+
+BOOST_AUTO_TEST_CASE(ReadsWhatTheRouterNeeds) {
+  const auto read = ReadCallerRequest(Request(), "s1");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().request_id_ == "9c41");
+  BOOST_TEST(*read.value().shard_key_ == 65535U);
+  BOOST_TEST((read.value().remaining_ == milliseconds(500)));
+}
+
+// A caller must not choose its own identity, and headers of one connection must not reach another.
+BOOST_AUTO_TEST_CASE(SetsItsOwnHeadersAndDropsThoseOfTheConnection) {
+  const auto read = ReadCallerRequest(Request(), "s1");
+  BOOST_REQUIRE(read.has_value());
+  const HeaderList& headers = read.value().request_.headers_;
+  BOOST_TEST(FindHeader(headers, "X-Caller-Service") == "s1");
+  BOOST_TEST(FindHeader(headers, "X-Expect-Instance") == "");
+  BOOST_TEST(FindHeader(headers, "X-Deadline-Ms") == "");
+  BOOST_TEST(FindHeader(headers, "X-Hop") == "");
+  BOOST_TEST(FindHeader(headers, "Transfer-Encoding") == "");
+  BOOST_TEST(FindHeader(headers, "X-Other") == "kept");
+  BOOST_TEST(FindHeader(headers, "X-Request-Id") == "9c41");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesRequestsWithoutIdOrWithAKeyOutOfRange) {
+  HttpRequest request = Request();
+  request.headers_[3].second = "65536";
+  BOOST_TEST(!ReadCallerRequest(request, "s1").has_value());
+  request = Request();
+  request.headers_.erase(request.headers_.begin() + 1);
+  BOOST_TEST(!ReadCallerRequest(request, "s1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheUpstreamLearnsTheTimeLeftAndWhoIsMeant) {
+  ForwardedRequest forwarded;
+  forwarded.request_ = ReadCallerRequest(Request(), "s1").value().request_;
+  const HttpRequest request = MakeUpstreamRequest(forwarded, "i-1", milliseconds(321));
+  BOOST_TEST(FindHeader(request.headers_, "X-Deadline-Ms") == "321");
+  BOOST_TEST(FindHeader(request.headers_, "X-Expect-Instance") == "i-1");
+  BOOST_TEST(request.path_ == "/a/1?x=2");
+}
+
+BOOST_AUTO_TEST_CASE(OnlyTheUpstreamsWordMeansNotRun) {
+  BOOST_TEST(ReadVerdict({503, {}, {}}).ran_);
+  BOOST_TEST(!ReadVerdict({503, {{"X-Not-Executed", "1"}}, {}}).ran_);
+  BOOST_TEST(!ReadVerdict({421, {}, {}}).ran_);
+  BOOST_TEST(ReadVerdict({421, {}, {}}).misdirected_);
+}
+
+BOOST_AUTO_TEST_CASE(RetryAfterIsInSeconds) {
+  const HttpResponse response = MakeOwnAnswer(503, "full", milliseconds(120));
+  BOOST_TEST(FindHeader(response.headers_, "Retry-After") == "0.120");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay::platform
--- /dev/null
+++ b/Tests/platform/test_store_client.cc
@@ -0,0 +1,184 @@
+#define BOOST_TEST_MODULE StoreClient
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "LibTransport/loopback.h"
+#include "platform/store_client.h"
+#include "router/topic_follower.h"
+#include "store_stand_in.h"
+
+namespace sassafrasbay {
+namespace {
+
+using stand_ins::StoreFault;
+using stand_ins::StoreStandIn;
+
+struct Fixture {
+  Fixture() : server_(loop_), client_(loop_, 8), store_(client_, server_.Address()) {}
+
+  template <typename T, typename Call>
+  Result<T> Wait(Call call) {
+    std::optional<Result<T>> result;
+    call([&](Result<T> value) {
+      result = std::move(value);
+      loop_.Stop();
+    });
+    RunGuarded(loop_);
+    BOOST_REQUIRE(result.has_value());
+    return std::move(*result);
+  }
+
+  Result<std::uint64_t> Append(const std::string& key, const std::string& value,
+                               std::optional<std::uint64_t> at) {
+    return Wait<std::uint64_t>(
+        [&](auto done) { store_.Append("keyed.t", {0, key, value}, at, done); });
+  }
+
+  Result<RecordBatch> Read(std::uint64_t from) {
+    return Wait<RecordBatch>(
+        [&](auto done) { store_.Read("keyed.t", from, milliseconds(50), done); });
+  }
+
+  Result<RecordBatch> Newest() {
+    return Wait<RecordBatch>([&](auto done) { store_.Newest("keyed.t", done); });
+  }
+
+  ReactorLoop loop_;
+  StoreStandIn server_;
+  HttpClient client_;
+  platform::StoreClient store_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(StoreCalls, Fixture)
+
+BOOST_AUTO_TEST_CASE(ReadsBackWhatItAppends) {
+  BOOST_TEST(Append("a", "1", std::nullopt).value() == 0);
+  BOOST_TEST(Append("b", std::string("\0\xff", 2), 1).value() == 1);
+  const RecordBatch batch = Read(0).value();
+  BOOST_TEST(batch.end_ == 2);
+  BOOST_REQUIRE(batch.records_.size() == 2);
+  BOOST_TEST(batch.records_[1].offset_ == 1);
+  BOOST_TEST(batch.records_[1].key_ == "b");
+  BOOST_TEST(batch.records_[1].value_ == std::string("\0\xff", 2));
+}
+
+// A change decided on an older table must not take effect.
+BOOST_AUTO_TEST_CASE(AConditionThatFailsIsAConflict) {
+  BOOST_TEST(Append("a", "1", 0).has_value());
+  const auto late = Append("a", "2", 0);
+  BOOST_REQUIRE(!late.has_value());
+  BOOST_TEST((late.error().code_ == make_error_code(Errc::kConflict)));
+  BOOST_TEST(Read(0).value().records_.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAllPagesOfTheNewestRecords) {
+  server_.page_ = 2;
+  for (int i = 0; i < 5; ++i) {
+    server_.Append("keyed.t", "k" + std::to_string(i), "old");
+    server_.Append("keyed.t", "k" + std::to_string(i), std::string(static_cast<std::size_t>(i + 1), 'x'));
+  }
+  server_.Append("keyed.t", "k0", "");
+  const RecordBatch batch = Newest().value();
+  BOOST_TEST(batch.end_ == 11);
+  BOOST_REQUIRE(batch.records_.size() == 4);
+  BOOST_TEST(batch.records_[3].value_ == "xxxxx");
+}
+
+BOOST_AUTO_TEST_CASE(DroppedHistoryIsTruncated) {
+  server_.Append("keyed.t", "a", "1");
+  server_.Compact("keyed.t");
+  const auto read = Read(0);
+  BOOST_REQUIRE(!read.has_value());
+  BOOST_TEST((read.error().code_ == make_error_code(Errc::kTruncated)));
+}
+
+// Only a refusal says that an append has had no effect.
+BOOST_AUTO_TEST_CASE(ARefusedAppendHasNoEffectAndALostAnswerLeavesItOpen) {
+  server_.fault_ = StoreFault::kRefuse;
+  for (const int status : {429, 503, 507}) {
+    server_.refusal_status_ = status;
+    const auto refused = Append("a", "1", std::nullopt);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST((refused.error().code_ == make_error_code(Errc::kUnavailable)), status);
+  }
+  server_.fault_ = StoreFault::kLoseAnswer;
+  const auto lost = Append("a", "1", std::nullopt);
+  BOOST_REQUIRE(!lost.has_value());
+  BOOST_TEST((lost.error().code_ != make_error_code(Errc::kUnavailable)));
+  server_.fault_ = StoreFault::kNone;
+  BOOST_TEST(Read(0).value().records_.size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct FollowerFixture : Fixture {
+  FollowerFixture()
+      : follower_(loop_, store_, "keyed.t", milliseconds(200),
+                  {[this](const KeyedRecord& record) { seen_[record.key_] = record.value_; },
+                   [this](BootTime) {
+                     if (until_()) {
+                       loop_.Stop();
+                     }
+                   },
+                   [this](bool reached) { reached_.push_back(reached); }}) {}
+
+  void RunUntil(std::function<bool()> condition) {
+    until_ = std::move(condition);
+    RunGuarded(loop_);
+  }
+
+  std::map<std::string, std::string> seen_;
+  std::vector<bool> reached_;
+  std::function<bool()> until_ = [] { return false; };
+  TopicFollower follower_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Following, FollowerFixture)
+
+BOOST_AUTO_TEST_CASE(SeesNewestRecordsAndThoseThatFollow) {
+  server_.Append("keyed.t", "a", "1");
+  follower_.Start();
+  loop_.StartTimer(milliseconds(100), [this] { server_.Append("keyed.t", "b", "2"); });
+  RunUntil([this] { return seen_.contains("b"); });
+  BOOST_TEST(seen_["a"] == "1");
+  BOOST_TEST(follower_.End() == 2);
+}
+
+// A node that was cut off longer than the history lasts must not miss a record.
+BOOST_AUTO_TEST_CASE(GoesOnAfterTheHistoryIsDropped) {
+  follower_.Start();
+  loop_.StartTimer(milliseconds(50), [this] { server_.fault_ = StoreFault::kRefuse; });
+  loop_.StartTimer(milliseconds(400), [this] {
+    for (int i = 0; i < 10; ++i) {
+      server_.Append("keyed.t", "a", std::to_string(i));
+    }
+    server_.Compact("keyed.t");
+    server_.fault_ = StoreFault::kNone;
+  });
+  RunUntil([this] { return seen_["a"] == "9"; });
+  BOOST_TEST(follower_.End() == 10);
+  BOOST_REQUIRE(reached_.size() == 3);
+  BOOST_TEST(!reached_[1]);
+  BOOST_TEST(reached_[2]);
+}
+
+// A read that has gone silent must not hide what other nodes know already.
+BOOST_AUTO_TEST_CASE(ReadsAtOnceWhenAnotherNodeKnowsMore) {
+  follower_.SetWait(milliseconds(30'000));
+  follower_.Start();
+  loop_.StartTimer(milliseconds(100), [this] { server_.fault_ = StoreFault::kSilent; });
+  loop_.StartTimer(milliseconds(300), [this] {
+    follower_.ReadNow();
+    server_.fault_ = StoreFault::kNone;
+    server_.Append("keyed.t", "a", "1");
+    follower_.ReadNow();
+  });
+  RunUntil([this] { return seen_.contains("a"); });
+  BOOST_TEST(follower_.End() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
