--- a/Libraries/LibOwnership/balance_plan.cc
+++ b/Libraries/LibOwnership/balance_plan.cc
@@ -6,8 +6,8 @@
 namespace sassafrasbay {
 namespace {
 
-/// Use, as a share of the capacity, below which an upstream keeps its keys: its requests hardly wait,
-/// and a moved key is unserved for about a tenth of a second.
+/// Use, as a share of the capacity, below which an upstream keeps its keys: its requests hardly
+/// wait, and a moved key is unserved for about a tenth of a second.
 constexpr double kBusy = 0.55;
 
 /// Least difference in use that is worth a move.
@@ -58,7 +58,9 @@
   if (uses.size() < 2) {
     return moves;
   }
-  const auto less = [](const Use& left, const Use& right) { return ShareOf(left) < ShareOf(right); };
+  const auto less = [](const Use& left, const Use& right) {
+    return ShareOf(left) < ShareOf(right);
+  };
   while (moves.size() < kMostMoves) {
     const auto [least, most] = std::minmax_element(uses.begin(), uses.end(), less);
     if (ShareOf(*most) < kBusy || ShareOf(*most) - ShareOf(*least) < kWorthwhileDifference) {
--- a/Libraries/LibOwnership/hold_rules.cc
+++ b/Libraries/LibOwnership/hold_rules.cc
@@ -19,9 +19,9 @@
 }
 
 BootTime GrantEnd(BootTime now, milliseconds length) {
-  const auto stretched = static_cast<milliseconds::rep>(static_cast<double>(length.count()) *
-                                                        (1.0 + kClockSlowness)) +
-                         1;
+  const auto stretched =
+      static_cast<milliseconds::rep>(static_cast<double>(length.count()) * (1.0 + kClockSlowness)) +
+      1;
   return now + milliseconds(stretched);
 }
 
--- a/Libraries/LibOwnership/key_table.h
+++ b/Libraries/LibOwnership/key_table.h
@@ -42,8 +42,8 @@
 /// Who owns the keys of a service. Keys outside all ranges have no owner.
 struct KeyTable {
   std::string service_;
-  std::uint64_t version_ = 0;      ///< Each written table has the version of the one before, plus one.
-  std::vector<KeyRange> ranges_;   ///< Disjoint, ascending.
+  std::uint64_t version_ = 0;  ///< Each written table has the version of the one before, plus one.
+  std::vector<KeyRange> ranges_;  ///< Disjoint, ascending.
 
   friend bool operator==(const KeyTable&, const KeyTable&) = default;
 };
@@ -71,5 +71,4 @@
 /// Splits ranges so that one starts at `key`.
 void SplitAt(KeyTable& table, ShardKey key);
 
-
 }  // namespace sassafrasbay
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -70,8 +70,7 @@
   if (is_current && view.own_.gone_) {
     return true;
   }
-  const bool silent =
-      view.own_.left_ || view.now_ - view.own_.last_heartbeat_ > kUpstreamSilence;
+  const bool silent = view.own_.left_ || view.now_ - view.own_.last_heartbeat_ > kUpstreamSilence;
   // Grants of an earlier process of this node end within one wait after the start of this one.
   const BootTime earlier_grants = view.started_ + kTakeoverWait;
   return silent && view.now_ > std::max(view.own_.granted_until_, earlier_grants);
@@ -212,17 +211,15 @@
     return std::nullopt;
   }
   const std::vector<Candidate> candidates = Candidates(view, true);
-  const auto fullest = std::max_element(candidates.begin(), candidates.end(),
-                                        [&](const Candidate& left, const Candidate& right) {
-                                          return OwnedKeys(table, left.holder_) <
-                                                 OwnedKeys(table, right.holder_);
-                                        });
+  const auto fullest = std::max_element(
+      candidates.begin(), candidates.end(), [&](const Candidate& left, const Candidate& right) {
+        return OwnedKeys(table, left.holder_) < OwnedKeys(table, right.holder_);
+      });
   for (const Candidate& candidate : candidates) {
     if (OwnedKeys(table, candidate.holder_) > 0) {
       continue;
     }
-    std::uint32_t wanted =
-        (kLastShardKey + 1) / static_cast<std::uint32_t>(candidates.size()) / 2;
+    std::uint32_t wanted = (kLastShardKey + 1) / static_cast<std::uint32_t>(candidates.size()) / 2;
     for (const KeyRange& range : table.ranges_) {
       if (range.owner_ == fullest->holder_) {
         const std::uint32_t size = range.last_ - range.first_ + 1;
@@ -268,9 +265,7 @@
 
 }  // namespace
 
-bool IsIsolated(const OwnershipView& view) {
-  return view.reachable_nodes_ * 2 < view.known_nodes_;
-}
+bool IsIsolated(const OwnershipView& view) { return view.reachable_nodes_ * 2 < view.known_nodes_; }
 
 HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime confirmed,
                              milliseconds longest) {
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -53,9 +53,9 @@
   BootTime started_{};  ///< When this process began to read the table.
   bool reaches_store_ = false;
   OwnUpstream own_;
-  std::vector<NodeView> nodes_;  ///< All known nodes of the service but this one.
-  std::size_t known_nodes_ = 1;  ///< All nodes of the system, with this one.
-  std::size_t reachable_nodes_ = 1;  ///< Those heard of within kSuspectAfter, with this one.
+  std::vector<NodeView> nodes_;         ///< All known nodes of the service but this one.
+  std::size_t known_nodes_ = 1;         ///< All nodes of the system, with this one.
+  std::size_t reachable_nodes_ = 1;     ///< Those heard of within kSuspectAfter, with this one.
   std::vector<UpstreamDemand> demand_;  ///< Of all upstreams that reported within kDemandFresh.
   BootTime last_balance_{};             ///< When this node last wrote moves for balance.
   /// When a node took back ranges that others thought lost.
--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -101,9 +101,9 @@
         std::max(registry.own_.granted_until_, GrantEnd(now, *answer.length_));
   }
   std::erase_if(registry.own_.released_, [&](const ReleasedKeys& released) {
-    return std::any_of(
-        answer.ranges_.begin(), answer.ranges_.end(),
-        [&](const HeldRange& range) { return Intersect(range.keys_, released.keys_); });
+    return std::any_of(answer.ranges_.begin(), answer.ranges_.end(), [&](const HeldRange& range) {
+      return Intersect(range.keys_, released.keys_);
+    });
   });
 }
 
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -23,9 +23,9 @@
 };
 
 enum class HeartbeatNews : std::uint8_t {
-  kOutdated,        ///< Of a former incarnation, or older than the newest; changes nothing.
+  kOutdated,  ///< Of a former incarnation, or older than the newest; changes nothing.
   kSame,
-  kChanged,         ///< State, slots or held ranges differ.
+  kChanged,  ///< State, slots or held ranges differ.
   kNewIncarnation,
 };
 
--- a/Libraries/LibRouting/key_load.h
+++ b/Libraries/LibRouting/key_load.h
@@ -28,8 +28,8 @@
 /// Ages the counts to `now`. To be called at regular intervals, before LoadPieces.
 void Decay(KeyLoad& load, BootTime now);
 
-/// At most `most` pieces of about equal load, ascending by key. A key with more than that is a piece
-/// of its own.
+/// At most `most` pieces of about equal load, ascending by key. A key with more than that is a
+/// piece of its own.
 std::vector<LoadPiece> LoadPieces(const KeyLoad& load, std::size_t most);
 
 }  // namespace sassafrasbay
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -249,8 +249,8 @@
 Result<NodeMessage> DecodeNodeMessage(std::string_view frame) {
   SASSAFRASBAY_TRY(parsed, ParseFrame(frame));
   FieldReader reader = ReaderOf(parsed);
-  const auto type = static_cast<Type>(
-      TakeUnsigned(reader, "t", std::numeric_limits<std::uint64_t>::max()));
+  const auto type =
+      static_cast<Type>(TakeUnsigned(reader, "t", std::numeric_limits<std::uint64_t>::max()));
   NodeMessage message;
   switch (type) {
     case Type::kForwardedRequest:
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -32,10 +32,10 @@
 
 /// How a request ended at the gate in front of an upstream.
 enum class GateOutcome : std::uint8_t {
-  kAnswered,   ///< The response is the upstream's.
-  kRefused,    ///< The gate refused; no upstream was reached.
-  kRejected,   ///< The upstream said that it hasn't run the request.
-  kUnknown,    ///< The request may have run; there is no whole response.
+  kAnswered,  ///< The response is the upstream's.
+  kRefused,   ///< The gate refused; no upstream was reached.
+  kRejected,  ///< The upstream said that it hasn't run the request.
+  kUnknown,   ///< The request may have run; there is no whole response.
 };
 
 /// Why a gate refused, so that the other node knows where to turn.
@@ -53,7 +53,7 @@
 
 /// State of the gate, on every answer and report.
 struct GateLoad {
-  std::uint32_t slots_ = 0;    ///< 0 when there is no upstream that takes requests.
+  std::uint32_t slots_ = 0;  ///< 0 when there is no upstream that takes requests.
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
 };
@@ -82,13 +82,13 @@
 
 /// Sent to every other node at regular intervals.
 struct NodeReport {
-  std::string address_;      ///< Peer address of the sender.
+  std::string address_;  ///< Peer address of the sender.
   std::string data_centre_;
   std::uint64_t clock_ms_ = 0;  ///< Of the sender; returned by the receiver in its own report.
   std::uint64_t echoed_clock_ms_ = 0;  ///< Newest clock got from the receiver; 0 before the first.
   bool tables_known_ = false;          ///< The two fields below are set.
   std::uint64_t tables_age_ms_ = 0;    ///< Since the sender last knew its tables to be the newest.
-  std::uint64_t tables_end_ = 0;  ///< End of the topic of tables up to which it has read.
+  std::uint64_t tables_end_ = 0;       ///< End of the topic of tables up to which it has read.
   bool reaches_store_ = false;
   std::uint64_t configuration_version_ = 0;
   GateLoad load_;
--- a/Libraries/LibRouting/route_table.cc
+++ b/Libraries/LibRouting/route_table.cc
@@ -8,8 +8,9 @@
 
 std::string HostName(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) {
+    return static_cast<char>(std::tolower(character));
+  });
   return name;
 }
 
--- a/Libraries/LibRouting/route_table.h
+++ b/Libraries/LibRouting/route_table.h
@@ -22,7 +22,7 @@
   std::string name_;
   std::string path_prefix_;  ///< Begins and ends with a slash.
   RequestKind kind_ = RequestKind::kBinding;
-  int rank_ = 0;  ///< 0 is the most urgent.
+  int rank_ = 0;                  ///< 0 is the most urgent.
   milliseconds objective_{1000};  ///< An answer within this time is of full worth.
   milliseconds timeout_{1000};    ///< Longest time that a caller may be kept waiting.
   int max_attempts_ = 1;          ///< Upstreams that one request may be sent to.
@@ -48,7 +48,8 @@
 /// One version of the routing configuration.
 struct RouteTable {
   std::uint64_t version_ = 0;
-  std::map<std::string, std::vector<Route>, std::less<>> routes_by_host_;  ///< Longest prefix first.
+  std::map<std::string, std::vector<Route>, std::less<>>
+      routes_by_host_;  ///< Longest prefix first.
   std::map<std::string, RoutedService, std::less<>> services_;
   CallerLimits limits_;
 };
--- a/Libraries/LibRouting/slot_queue.cc
+++ b/Libraries/LibRouting/slot_queue.cc
@@ -9,8 +9,8 @@
 /// Weight of a new sample in the smoothed service times.
 constexpr double kSampleWeight = 0.1;
 
-/// Longest wait as a share of the time to the objective. Waiting costs the request the time in which
-/// another upstream could run it, and its caller the time to come back.
+/// Longest wait as a share of the time to the objective. Waiting costs the request the time in
+/// which another upstream could run it, and its caller the time to come back.
 constexpr double kWaitShare = 0.5;
 
 bool RunsBefore(const SlotRequest& left, const SlotRequest& right) {
@@ -104,9 +104,9 @@
   if (queue.running_ >= queue.slots_) {
     return std::nullopt;
   }
-  const auto next = std::find_if(
-      queue.waiting_.begin(), queue.waiting_.end(),
-      [&](const SlotRequest& request) { return CanFinish(queue, request, now); });
+  const auto next =
+      std::find_if(queue.waiting_.begin(), queue.waiting_.end(),
+                   [&](const SlotRequest& request) { return CanFinish(queue, request, now); });
   if (next == queue.waiting_.end()) {
     return std::nullopt;
   }
--- a/Libraries/LibRouting/slot_queue.h
+++ b/Libraries/LibRouting/slot_queue.h
@@ -14,8 +14,8 @@
 /// A request that wants a slot of an upstream.
 struct SlotRequest {
   std::uint64_t number_ = 0;
-  std::string class_;  ///< Requests of a class take about the same time.
-  int rank_ = 0;       ///< 0 is the most urgent.
+  std::string class_;     ///< Requests of a class take about the same time.
+  int rank_ = 0;          ///< 0 is the most urgent.
   BootTime objective_{};  ///< An answer after this time is of less worth.
   BootTime deadline_{};   ///< An answer after this time is of none.
 };
@@ -26,7 +26,7 @@
   std::uint32_t running_ = 0;
   std::vector<SlotRequest> waiting_;  ///< In the order in which they get slots.
   std::map<std::string, double, std::less<>> service_ms_;  ///< Smoothed time in a slot by class.
-  double mean_service_ms_ = 0;        ///< Smoothed over all classes.
+  double mean_service_ms_ = 0;                             ///< Smoothed over all classes.
 };
 
 enum class SlotDecision : std::uint8_t { kRun, kWait, kRefuse };
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -9,8 +9,8 @@
 
 /// One upstream that can run a request, as the choosing node sees it.
 struct UpstreamOption {
-  std::string node_;         ///< Peer address of the node beside it.
-  std::uint32_t slots_ = 1;  ///< At least 1.
+  std::string node_;          ///< Peer address of the node beside it.
+  std::uint32_t slots_ = 1;   ///< At least 1.
   std::uint32_t in_use_ = 0;  ///< Slots in use and waiting requests, own open ones included.
   bool same_data_centre_ = false;
   bool failing_ = false;  ///< It failed or rejected most requests of late.
--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -63,6 +63,10 @@
     if (error) {
       return ParseError(error);
     }
+    // The parser of this version doesn't check the stated length of a response.
+    if (impl_->parser_->get().body().size() > impl_->max_body_bytes_) {
+      return MakeError(Errc::kTooLarge, kStep, {}, "body is over the bound");
+    }
     // An interim response is followed by the final one.
     if (impl_->parser_->is_done() && impl_->parser_->get().result_int() < kFirstFinalStatus) {
       impl_->Restart();
--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -194,8 +194,7 @@
   if (!socket) {
     loop_.Post([this, alive = alive_, id, error = socket.error()] {
       if (*alive) {
-        const bool refused =
-            error.code_ == std::error_code(ECONNREFUSED, std::generic_category());
+        const bool refused = error.code_ == std::error_code(ECONNREFUSED, std::generic_category());
         Finish(id, {error, false, refused});
       }
     });
@@ -211,8 +210,7 @@
 }
 
 void UpstreamClient::Impl::Watch(const ConnectionPointer& connection) {
-  const bool write =
-      connection->connecting_ || connection->sent_ < connection->output_.size();
+  const bool write = connection->connecting_ || connection->sent_ < connection->output_.size();
   const Result<void> watched =
       loop_.Watch(connection->socket_, write ? kReadBit | kWriteBit : kReadBit,
                   [this, connection](unsigned ready) { OnReady(connection, ready); });
@@ -238,8 +236,7 @@
   socklen_t length = sizeof(number);
   getsockopt(connection->socket_, SOL_SOCKET, SO_ERROR, &number, &length);
   if (number != 0) {
-    Fail(connection, SystemError(number, "connect to upstream", address_),
-         number == ECONNREFUSED);
+    Fail(connection, SystemError(number, "connect to upstream", address_), number == ECONNREFUSED);
     return;
   }
   connection->connecting_ = false;
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -29,8 +29,8 @@
 constexpr milliseconds kSeldomReadWait{4000};
 constexpr std::size_t kOftenReaders = 2;
 
-/// The answer to a heartbeat may be this late while a range is about to arrive: an upstream takes an
-/// answer up to a second late, and sooner than with its next heartbeat.
+/// The answer to a heartbeat may be this late while a range is about to arrive: an upstream takes
+/// an answer up to a second late, and sooner than with its next heartbeat.
 constexpr milliseconds kLongestHold{700};
 
 /// The tables count as read from the store when they were confirmed this recently by it.
@@ -74,8 +74,7 @@
     : shared_(shared),
       client_(loop_, kStoreConnections),
       store_(client_, shared.environment_.store_),
-      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic),
-                      kSeldomReadWait,
+      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kSeldomReadWait,
                       {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        [](BootTime) {}, [](bool) {}}),
       fleet_topic_(loop_, store_, std::string(kFleetTopic), kOftenReadWait,
@@ -152,8 +151,8 @@
   if (routes_ != nullptr && version <= routes_->version_) {
     return;
   }
-  LogInfo(kPart, "configuration version=" + std::to_string(version) + " from=" +
-                     std::to_string(routes_ == nullptr ? 0 : routes_->version_) +
+  LogInfo(kPart, "configuration version=" + std::to_string(version) +
+                     " from=" + std::to_string(routes_ == nullptr ? 0 : routes_->version_) +
                      " source=" + std::string(source) + " is in force.");
   routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
   configuration_text_ = text;
@@ -193,9 +192,9 @@
   ScheduleUpdate();
 }
 
-// Appends that an earlier process of this node sent, and whose effect it never learnt, depend on the
-// end of the topic. The registration moves that end, so once it is read back none of them can take
-// effect any more.
+// Appends that an earlier process of this node sent, and whose effect it never learnt, depend on
+// the end of the topic. The registration moves that end, so once it is read back none of them can
+// take effect any more.
 void ControlThread::Register() {
   if (registered_ || registering_ || !fleet_topic_.IsCurrent() || !fleet_topic_.IsReached()) {
     return;
@@ -203,15 +202,15 @@
   registering_ = true;
   const nlohmann::json value = {{"data_centre", shared_.environment_.data_centre_},
                                 {"life", life_}};
-  store_.Append(kFleetTopic, {0, std::string(kNodePrefix) + shared_.self_, value.dump()},
-                std::nullopt, [this](const Result<std::uint64_t>& offset) {
-                  if (offset) {
-                    return;  // The follower reads it back.
-                  }
-                  registering_ = false;
-                  LogWarning(kPart, "registration not written reason=\"" +
-                                        ToString(offset.error()) + "\".");
-                });
+  store_.Append(
+      kFleetTopic, {0, std::string(kNodePrefix) + shared_.self_, value.dump()}, std::nullopt,
+      [this](const Result<std::uint64_t>& offset) {
+        if (offset) {
+          return;  // The follower reads it back.
+        }
+        registering_ = false;
+        LogWarning(kPart, "registration not written reason=\"" + ToString(offset.error()) + "\".");
+      });
 }
 
 void ControlThread::OnTablesCurrent(BootTime asked) {
@@ -246,10 +245,9 @@
   }
   const std::string address = report.address_;
   const auto known = peers_.find(address);
-  const bool news =
-      known == peers_.end() ||
-      known->second.report_.upstream_.instance_ != report.upstream_.instance_ ||
-      known->second.report_.upstream_.takes_keys_ != report.upstream_.takes_keys_;
+  const bool news = known == peers_.end() ||
+                    known->second.report_.upstream_.instance_ != report.upstream_.instance_ ||
+                    known->second.report_.upstream_.takes_keys_ != report.upstream_.takes_keys_;
   peers_[address] = std::move(facts);
   if (news) {
     ScheduleUpdate();
@@ -394,8 +392,8 @@
   view.now_ = BootClock::now();
   view.started_ = started_;
   const BootTime confirmed = FromNanoseconds(shared_.tables_confirmed_ns_);
-  view.reaches_store_ = registered_ && fleet_topic_.IsReached() &&
-                        view.now_ - confirmed < kStoreFreshness;
+  view.reaches_store_ =
+      registered_ && fleet_topic_.IsReached() && view.now_ - confirmed < kStoreFreshness;
   if (registry_.newest_ && registry_.newest_->service_ == service) {
     view.own_ = registry_.own_;
   }
@@ -429,8 +427,8 @@
 
 void ControlThread::ChooseReadWait() {
   const BootTime now = BootClock::now();
-  const auto lower = static_cast<std::size_t>(
-      std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+  const auto lower =
+      static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
         return peer.first < shared_.self_ && peer.second.report_.reaches_store_ &&
                now - peer.second.received_ < kSuspectAfter;
       }));
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -71,7 +71,7 @@
   std::unique_ptr<HttpServer> heartbeats_;
   RouterTrafficCalls traffic_;
 
-  std::string life_;  ///< Random id of this process in its registration.
+  std::string life_;         ///< Random id of this process in its registration.
   bool registered_ = false;  ///< The registration of this process has been read back.
   bool registering_ = false;
   BootTime started_{};
--- a/Services/sassafrasbay/router/ownership_keeper.h
+++ b/Services/sassafrasbay/router/ownership_keeper.h
@@ -23,8 +23,8 @@
   OwnershipKeeper(const OwnershipKeeper&) = delete;
   OwnershipKeeper& operator=(const OwnershipKeeper&) = delete;
 
-  /// Decides on the table as it is after the topic's records before `end`, and writes the change, if
-  /// any, on the condition that the topic still ends there.
+  /// Decides on the table as it is after the topic's records before `end`, and writes the change,
+  /// if any, on the condition that the topic still ends there.
   void Decide(const KeyTable& table, std::uint64_t end, OwnershipView view);
 
   /// Notes the table before and after a record.
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -65,11 +65,7 @@
 
 RequestRouter::RequestRouter(ReactorLoop& loop, RouterShared& shared, PeerLinks& links,
                              UpstreamGate& gate)
-    : loop_(loop),
-      shared_(shared),
-      links_(links),
-      gate_(gate),
-      random_(HashBytes(RandomId())) {}
+    : loop_(loop), shared_(shared), links_(links), gate_(gate), random_(HashBytes(RandomId())) {}
 
 double RequestRouter::Sample() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
@@ -88,9 +84,9 @@
   HttpResponse refusal;
   Result<Pending> accepted = Accept(exchange, refusal);
   if (!accepted) {
-    LogInfo(kPart, "refused status=" + std::to_string(refusal.status_) + " path=" +
-                       exchange->Request().path_ + " reason=\"" + ToString(accepted.error()) +
-                       "\" configuration=" +
+    LogInfo(kPart, "refused status=" + std::to_string(refusal.status_) +
+                       " path=" + exchange->Request().path_ + " reason=\"" +
+                       ToString(accepted.error()) + "\" configuration=" +
                        std::to_string(snapshot_ == nullptr || snapshot_->routes_ == nullptr
                                           ? 0
                                           : snapshot_->routes_->version_) +
@@ -109,8 +105,8 @@
   Dispatch(number);
 }
 
-Result<RequestRouter::Pending> RequestRouter::Accept(
-    const std::shared_ptr<HttpExchange>& exchange, HttpResponse& refusal) {
+Result<RequestRouter::Pending> RequestRouter::Accept(const std::shared_ptr<HttpExchange>& exchange,
+                                                     HttpResponse& refusal) {
   constexpr std::string_view kStep = "accept request";
   if (snapshot_ == nullptr || snapshot_->routes_ == nullptr) {
     refusal = platform::MakeOwnAnswer(kUnavailable, "no configuration yet", kNoOwnerRetryAfter);
@@ -157,8 +153,7 @@
 
 bool RequestRouter::IsAlive(const std::string& node) const {
   const auto peer = peers_.find(node);
-  return peer != peers_.end() &&
-         BootClock::now() - peer->second.facts_.received_ < kSuspectAfter;
+  return peer != peers_.end() && BootClock::now() - peer->second.facts_.received_ < kSuspectAfter;
 }
 
 std::string RequestRouter::FindOwnerNode(const Pending& pending) const {
@@ -174,7 +169,8 @@
   std::vector<UpstreamOption> options;
   const GateLoad own = gate_.Load();
   if (own.slots_ > 0 && snapshot_->upstream_ != nullptr &&
-      snapshot_->upstream_->service_ == pending.service_ && !pending.tried_.contains(shared_.self_)) {
+      snapshot_->upstream_->service_ == pending.service_ &&
+      !pending.tried_.contains(shared_.self_)) {
     options.push_back({shared_.self_, own.slots_, own.running_ + own.waiting_, true, false});
   }
   for (const auto& [address, peer] : peers_) {
@@ -216,9 +212,8 @@
   const std::vector<UpstreamOption> options = Options(pending);
   const auto choice = ChooseUpstream(options, Sample());
   if (!choice) {
-    Refuse(number, pending.last_refusal_ == RefusalReason::kNone
-                       ? "no-upstream"
-                       : ToString(pending.last_refusal_));
+    Refuse(number, pending.last_refusal_ == RefusalReason::kNone ? "no-upstream"
+                                                                 : ToString(pending.last_refusal_));
     return;
   }
   SendTo(number, options[*choice].node_);
@@ -313,8 +308,8 @@
     return;
   }
   ++pending.sent_;
-  const bool failed = answer.outcome_ != GateOutcome::kAnswered ||
-                      answer.response_.status_ >= kFirstServerError;
+  const bool failed =
+      answer.outcome_ != GateOutcome::kAnswered || answer.response_.status_ >= kFirstServerError;
   NoteEnd(pending, failed);
   pending.tried_.insert(pending.node_);
   pending.may_have_run_ = pending.may_have_run_ || answer.outcome_ != GateOutcome::kRejected;
@@ -389,7 +384,8 @@
   });
 }
 
-// A refusal promises that the request has not run. Once it may have run, only another answer is true.
+// A refusal promises that the request has not run. Once it may have run, only another answer is
+// true.
 void RequestRouter::Refuse(std::uint64_t number, std::string_view reason) {
   Pending& pending = pending_.at(number);
   if (pending.failure_) {
@@ -456,9 +452,9 @@
                        " service=" + pending.service_ + " key=" +
                        (pending.sharded_ ? std::to_string(*pending.request_.shard_key_) : "-") +
                        " node=" + pending.node_ + " sent=" + std::to_string(pending.sent_) +
-                       " refusals=" + std::to_string(pending.refusals_) + " configuration=" +
-                       std::to_string(pending.routes_->version_) + " ms=" +
-                       std::to_string(static_cast<int>(took)) + " status=" +
+                       " refusals=" + std::to_string(pending.refusals_) +
+                       " configuration=" + std::to_string(pending.routes_->version_) +
+                       " ms=" + std::to_string(static_cast<int>(took)) + " status=" +
                        std::to_string(response.status_) + " outcome=" + std::string(outcome) + ".");
   }
   if (leaving_) {
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -72,9 +72,9 @@
   struct PeerState {
     PeerFacts facts_;
     GateLoad load_;
-    int open_ = 0;  ///< Own requests there.
+    int open_ = 0;          ///< Own requests there.
     int open_at_load_ = 0;  ///< Of these, those that the load may count.
-    double failures_ = 0;  ///< Smoothed share of failed and rejected requests.
+    double failures_ = 0;   ///< Smoothed share of failed and rejected requests.
   };
 
   Result<Pending> Accept(const std::shared_ptr<HttpExchange>& exchange, HttpResponse& refusal);
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -44,8 +44,8 @@
   std::shared_ptr<const std::map<std::string, KeyTable>> tables_;  ///< By service; never null.
   std::uint64_t tables_end_ = 0;
   std::vector<std::pair<std::string, std::string>> records_;  ///< Newest records, for other nodes.
-  std::vector<Member> members_;  ///< All but this node.
-  std::shared_ptr<const UpstreamState> upstream_;  ///< Null until its first heartbeat.
+  std::vector<Member> members_;                               ///< All but this node.
+  std::shared_ptr<const UpstreamState> upstream_;             ///< Null until its first heartbeat.
 };
 
 /// Shared by the two threads of a node.
@@ -53,7 +53,8 @@
   platform::NodeEnvironment environment_;
   std::string self_;  ///< Peer address of this node.
   Metrics metrics_;
-  /// Boot time in ns of the last moment at which the tables were known to be the newest; 0 for never.
+  /// Boot time in ns of the last moment at which the tables were known to be the newest; 0 for
+  /// never.
   std::atomic<std::int64_t> tables_confirmed_ns_{0};
   std::atomic<bool> reaches_store_{false};
 };
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -18,11 +18,7 @@
 
 TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic,
                              milliseconds wait, Hooks hooks)
-    : loop_(loop),
-      store_(store),
-      topic_(std::move(topic)),
-      wait_(wait),
-      hooks_(std::move(hooks)) {}
+    : loop_(loop), store_(store), topic_(std::move(topic)), wait_(wait), hooks_(std::move(hooks)) {}
 
 TopicFollower::~TopicFollower() { loop_.CancelTimer(timer_); }
 
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -11,7 +11,8 @@
 
 constexpr std::string_view kPart = "traffic";
 
-/// Interval of reports. Loads are on every answer too; a node is taken for lost after six intervals.
+/// Interval of reports. Loads are on every answer too; a node is taken for lost after six
+/// intervals.
 constexpr milliseconds kReportInterval{250};
 
 /// Interval of the reports on the demand for keys.
@@ -83,9 +84,8 @@
                      .Listen(environment.metrics_.host_, environment.metrics_.port_)
                      .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
                        const bool known = exchange->Request().path_ == "/metrics";
-                       exchange->Respond(known
-                                             ? HttpResponse{kOk, {}, shared_.metrics_.Render()}
-                                             : HttpResponse{kNotFound, {}, "see /metrics\n"});
+                       exchange->Respond(known ? HttpResponse{kOk, {}, shared_.metrics_.Render()}
+                                               : HttpResponse{kNotFound, {}, "see /metrics\n"});
                      })
                      .Build();
   for (auto* server : {&callers, &ready, &metrics}) {
@@ -115,8 +115,7 @@
       (snapshot_ == nullptr || snapshot_->upstream_ == nullptr ||
        snapshot_->upstream_->holder_ != snapshot->upstream_->holder_ ||
        snapshot_->upstream_->takes_requests_ != snapshot->upstream_->takes_requests_);
-  const bool members_changed =
-      snapshot_ == nullptr || snapshot_->members_ != snapshot->members_;
+  const bool members_changed = snapshot_ == nullptr || snapshot_->members_ != snapshot->members_;
   snapshot_ = snapshot;
   gate_.SetUpstream(snapshot->upstream_);
   router_.SetSnapshot(snapshot);
@@ -189,10 +188,9 @@
   if (snapshot_ == nullptr) {
     return;
   }
-  const std::uint64_t version =
-      snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
-  const bool lags = report.configuration_version_ < version ||
-                    report.tables_end_ < snapshot_->tables_end_;
+  const std::uint64_t version = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
+  const bool lags =
+      report.configuration_version_ < version || report.tables_end_ < snapshot_->tables_end_;
   if (!lags) {
     lags_since_.erase(report.address_);
     return;
@@ -229,8 +227,7 @@
     report.tables_age_ms_ = static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(BootClock::now() - since).count() + 1);
   }
-  report.configuration_version_ =
-      snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
+  report.configuration_version_ = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
   if (snapshot_->upstream_ != nullptr) {
     const UpstreamState& upstream = *snapshot_->upstream_;
     report.upstream_ = {upstream.service_, upstream.holder_.instance_, upstream.holder_.born_ms_,
@@ -293,8 +290,8 @@
 void TrafficThread::EndWhenIdle(BootTime earliest, BootTime latest,
                                 const std::function<void()>& done) {
   const BootTime now = BootClock::now();
-  // Callers may go on coming when few nodes of a data centre are ready. From here on new connections
-  // are refused and the gate takes nothing new, so that the rest can end.
+  // Callers may go on coming when few nodes of a data centre are ready. From here on new
+  // connections are refused and the gate takes nothing new, so that the rest can end.
   if (now > earliest) {
     callers_->StopAccepting();
     gate_.StopTaking();
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -57,7 +57,7 @@
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> metrics_;
   std::shared_ptr<const RouterSnapshot> snapshot_;
-  std::map<std::string, PeerFacts> reports_;  ///< Newest by peer address.
+  std::map<std::string, PeerFacts> reports_;    ///< Newest by peer address.
   std::map<std::string, BootTime> lags_since_;  ///< Nodes with older state than this one.
   /// Gate numbers of open requests of peers, by connection and the peer's number.
   std::map<std::pair<ConnectionId, std::uint64_t>, UpstreamGate::Number> forwarded_;
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -48,8 +48,7 @@
   if (upstream == nullptr) {
     return;
   }
-  const bool new_incarnation =
-      upstream_ == nullptr || upstream_->holder_ != upstream->holder_;
+  const bool new_incarnation = upstream_ == nullptr || upstream_->holder_ != upstream->holder_;
   if (new_incarnation) {
     if (upstream_ != nullptr) {
       ConfirmCrash("new incarnation");
@@ -85,8 +84,8 @@
   report.service_ = upstream_->service_;
   const double service_ms =
       queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kAssumedServiceMs;
-  report.capacity_per_second_ = queue_.slots_ * 1000.0 / service_ms *
-                                std::max(success_share_, kLeastSuccess);
+  report.capacity_per_second_ =
+      queue_.slots_ * 1000.0 / service_ms * std::max(success_share_, kLeastSuccess);
   report.pieces_ = LoadPieces(key_load_, kDemandPieces);
   return report;
 }
@@ -104,11 +103,10 @@
   if (request.shard_key_) {
     const bool granted =
         BootClock::now() < upstream_->granted_until_ &&
-        std::any_of(upstream_->granted_.begin(), upstream_->granted_.end(),
-                    [&](const KeySpan& span) {
-                      return span.first_ <= *request.shard_key_ &&
-                             *request.shard_key_ <= span.last_;
-                    });
+        std::any_of(
+            upstream_->granted_.begin(), upstream_->granted_.end(), [&](const KeySpan& span) {
+              return span.first_ <= *request.shard_key_ && *request.shard_key_ <= span.last_;
+            });
     if (!granted) {
       return RefusalReason::kNotOwner;
     }
@@ -198,18 +196,17 @@
 
 void UpstreamGate::OnLost(const OpenRequest& open, const UpstreamResult& result) {
   const BootTime now = BootClock::now();
-  LogInfo(kPart, "request=" + open.request_.request_id_ + " upstream=" +
-                     upstream_->holder_.instance_ + " lost=\"" +
-                     ToString(result.response_.error()) + "\" maybe_sent=" +
-                     (result.maybe_sent_ ? "true." : "false."));
+  LogInfo(kPart, "request=" + open.request_.request_id_ +
+                     " upstream=" + upstream_->holder_.instance_ + " lost=\"" +
+                     ToString(result.response_.error()) +
+                     "\" maybe_sent=" + (result.maybe_sent_ ? "true." : "false."));
   if (result.refused_) {
     refused_until_ = now + kRefusedPause;
     ConfirmCrash("connection refused");
     hooks_.on_refused_connection_();
     return;
   }
-  if (result.maybe_sent_ &&
-      result.response_.error().code_ != make_error_code(Errc::kTimedOut)) {
+  if (result.maybe_sent_ && result.response_.error().code_ != make_error_code(Errc::kTimedOut)) {
     broken_.emplace_back(open.request_.fingerprint_, now);
   }
 }
@@ -223,8 +220,8 @@
     }
   }
   for (const Suspect& suspect : RecordCrash(suspects_, fingerprints, now)) {
-    LogInfo(kPart, "fingerprint=" + std::to_string(suspect.fingerprint_) + " crashes=" +
-                       std::to_string(suspect.crashes_) + " evidence=\"" +
+    LogInfo(kPart, "fingerprint=" + std::to_string(suspect.fingerprint_) +
+                       " crashes=" + std::to_string(suspect.crashes_) + " evidence=\"" +
                        std::string(evidence) + "\".");
     hooks_.on_suspect_(suspect);
   }
--- a/Tests/LibOwnership/test_balance_plan.cc
+++ b/Tests/LibOwnership/test_balance_plan.cc
@@ -63,8 +63,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(NothingMovesWhileNoUpstreamIsBusy) {
-  const std::vector<UpstreamDemand> upstreams = {
-      Demand("a", 100, 0, std::vector<double>(8, 5.0)), Demand("b", 100, 1000, {1.0})};
+  const std::vector<UpstreamDemand> upstreams = {Demand("a", 100, 0, std::vector<double>(8, 5.0)),
+                                                 Demand("b", 100, 1000, {1.0})};
   BOOST_TEST(PlanBalance(upstreams).empty());
 }
 
--- a/Tests/LibOwnership/test_key_table.cc
+++ b/Tests/LibOwnership/test_key_table.cc
@@ -10,7 +10,8 @@
 BOOST_AUTO_TEST_SUITE(KeyTables)
 
 BOOST_AUTO_TEST_CASE(FindsTheRangeOfAKeyIncludingItsEnds) {
-  const KeyTable table{"lookup", 1, {RangeOf(10, 19, HolderAt("a")), RangeOf(30, 30, HolderAt("b"))}};
+  const KeyTable table{
+      "lookup", 1, {RangeOf(10, 19, HolderAt("a")), RangeOf(30, 30, HolderAt("b"))}};
   BOOST_TEST(FindRange(table, 9) == nullptr);
   BOOST_TEST(FindRange(table, 10)->owner_.node_ == "a");
   BOOST_TEST(FindRange(table, 19)->owner_.node_ == "a");
@@ -53,8 +54,7 @@
   overlapping.ranges_[1].first_ = 5;
   for (const std::string& text :
        {std::string(), std::string("[]"), good.substr(0, good.size() / 2),
-        std::string(R"({"service":"s","version":"x","ranges":[]})"),
-        EncodeKeyTable(overlapping)}) {
+        std::string(R"({"service":"s","version":"x","ranges":[]})"), EncodeKeyTable(overlapping)}) {
     BOOST_TEST(!DecodeKeyTable(text).has_value());
   }
 }
--- a/Tests/LibOwnership/test_table_changes.cc
+++ b/Tests/LibOwnership/test_table_changes.cc
@@ -43,8 +43,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(APartlyReleasedMoveGoesOn) {
-  KeyTable moving =
-      BeginMove(EvenTable({HolderAt("a"), HolderAt("b")}), HolderAt("a"), {100, 199}, HolderAt("b"));
+  KeyTable moving = BeginMove(EvenTable({HolderAt("a"), HolderAt("b")}), HolderAt("a"), {100, 199},
+                              HolderAt("b"));
   const std::vector<ReleasedKeys> released = {{{100, 149}, "5c0e"}};
   const KeyTable half = Release(moving, HolderAt("a"), released);
   BOOST_TEST(FindRange(half, 149)->owner_.node_ == "b");
--- /dev/null
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -0,0 +1,70 @@
+#define BOOST_TEST_MODULE NodeMessageCodec
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <string>
+
+#include "LibRouting/node_messages.h"
+
+namespace sassafrasbay {
+namespace {
+
+std::vector<NodeMessage> Samples() {
+  ForwardedRequest request;
+  request.number_ = 7;
+  request.service_ = "s1";
+  request.shard_key_ = 65535;
+  request.request_id_ = "9c41";
+  request.class_ = "r-1";
+  request.rank_ = 2;
+  request.idempotent_ = true;
+  request.remaining_ms_ = 800;
+  request.fingerprint_ = 0xFFFFFFFFFFFFFFFFU;
+  request.request_ = {"PUT", "/a?b", {{"H", "v"}}, std::string("\0\xff", 2)};
+  ForwardedAnswer answer;
+  answer.number_ = 7;
+  answer.outcome_ = GateOutcome::kRefused;
+  answer.reason_ = RefusalReason::kNotOwner;
+  answer.load_ = {18, 3, 1};
+  answer.response_ = {200, {{"H", "v"}}, "body"};
+  NodeReport report;
+  report.address_ = "10.1.0.8:7620";
+  report.tables_known_ = true;
+  report.tables_age_ms_ = 12;
+  report.upstream_ = {"s1", "i-1", 1700000000123, true};
+  StateTransfer state{"text", 5, {{"k", std::string("\0v", 2)}}};
+  DemandReport demand{"10.1.0.8:7620", "s1", 120.5, {{1, 9, 3.5}}};
+  return {request, answer, CancelForwarded{7}, report, state, demand, Suspect{9, 2}};
+}
+
+BOOST_AUTO_TEST_SUITE(NodeMessages)
+
+BOOST_AUTO_TEST_CASE(EachMessageIsReadBack) {
+  for (const NodeMessage& message : Samples()) {
+    const std::string frame = EncodeNodeMessage(message);
+    const Result<NodeMessage> read = DecodeNodeMessage(frame);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().index() == message.index());
+    BOOST_TEST(EncodeNodeMessage(read.value()) == frame);
+  }
+}
+
+// Frames of a broken peer must be refused, not crash the node.
+BOOST_AUTO_TEST_CASE(DamagedFramesAreRefusedOrRead) {
+  std::mt19937_64 random(1);
+  for (int round = 0; round < 20'000; ++round) {
+    const std::vector<NodeMessage> samples = Samples();
+    std::string frame = EncodeNodeMessage(samples[random() % samples.size()]);
+    if (random() % 2 == 0) {
+      frame.resize(random() % frame.size());
+    } else {
+      frame[random() % frame.size()] = static_cast<char>(random());
+    }
+    static_cast<void>(DecodeNodeMessage(frame));
+  }
+  BOOST_TEST(!DecodeNodeMessage("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibRouting/test_slot_queue.cc
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE SlotQueue
+#include <boost/test/unit_test.hpp>
+
+#include "LibRouting/key_load.h"
+#include "LibRouting/slot_queue.h"
+#include "LibRouting/upstream_choice.h"
+
+namespace sassafrasbay {
+namespace {
+
+BootTime At(int ms) { return BootTime(std::chrono::minutes(10)) + milliseconds(ms); }
+
+SlotRequest Request(std::uint64_t number, int rank, int objective_ms, int deadline_ms) {
+  return {number, "class", rank, At(objective_ms), At(deadline_ms)};
+}
+
+/// A queue whose slots are all in use by requests of 100 ms.
+SlotQueue FullQueue(std::uint32_t slots) {
+  SlotQueue queue;
+  queue.slots_ = slots;
+  queue.running_ = slots + 1;
+  FreeSlot(queue, "class", milliseconds(100));
+  return queue;
+}
+
+BOOST_AUTO_TEST_SUITE(Slots)
+
+BOOST_AUTO_TEST_CASE(ARequestRunsWhileASlotIsFree) {
+  SlotQueue queue;
+  queue.slots_ = 2;
+  BOOST_TEST((OfferRequest(queue, Request(1, 0, 300, 800), At(0)).decision_ == SlotDecision::kRun));
+  BOOST_TEST((OfferRequest(queue, Request(2, 0, 300, 800), At(0)).decision_ == SlotDecision::kRun));
+  BOOST_TEST(queue.running_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ItWaitsForASlotThatIsFreeInTime) {
+  SlotQueue queue = FullQueue(10);
+  const SlotVerdict verdict = OfferRequest(queue, Request(1, 0, 300, 800), At(0));
+  BOOST_TEST((verdict.decision_ == SlotDecision::kWait));
+  BOOST_TEST((verdict.expected_wait_ == milliseconds(10)));
+}
+
+// Pattern: far more requests than slots. What can't be answered in time is refused at once, not
+// when its deadline passes.
+BOOST_AUTO_TEST_CASE(UnderOverloadTheQueueStaysShortAndRefusesAtOnce) {
+  SlotQueue queue = FullQueue(10);
+  int waiting = 0;
+  int refused = 0;
+  for (std::uint64_t number = 1; number <= 200; ++number) {
+    const SlotVerdict verdict = OfferRequest(queue, Request(number, 0, 300, 800), At(0));
+    waiting += verdict.decision_ == SlotDecision::kWait ? 1 : 0;
+    refused += verdict.decision_ == SlotDecision::kRefuse ? 1 : 0;
+  }
+  BOOST_TEST(waiting + refused == 200);
+  BOOST_TEST(ExpectedWait(queue, queue.waiting_.size()).count() < 300);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentRequestsGoFirstAndThenTheEarliestDeadline) {
+  SlotQueue queue = FullQueue(10);
+  OfferRequest(queue, Request(1, 2, 300, 800), At(0));
+  OfferRequest(queue, Request(2, 0, 300, 800), At(0));
+  OfferRequest(queue, Request(3, 0, 300, 700), At(0));
+  FreeSlot(queue, "class", milliseconds(100));
+  FreeSlot(queue, "class", milliseconds(100));
+  BOOST_TEST(TakeWaiting(queue, At(10))->number_ == 3);
+  BOOST_TEST(TakeWaiting(queue, At(10))->number_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(WaitingRequestsThatCantFinishAreTaken) {
+  SlotQueue queue = FullQueue(10);
+  OfferRequest(queue, Request(1, 0, 300, 400), At(0));
+  BOOST_TEST(TakeHopeless(queue, At(299)).empty());
+  BOOST_TEST(TakeHopeless(queue, At(301)).size() == 1);
+}
+
+// A failed request's time says nothing of how long the others take.
+BOOST_AUTO_TEST_CASE(AFailureIsNoSample) {
+  SlotQueue queue = FullQueue(10);
+  FreeSlot(queue, "class", std::nullopt);
+  BOOST_TEST(queue.mean_service_ms_ == 100);
+  BOOST_TEST(queue.running_ == 9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Choice)
+
+BOOST_AUTO_TEST_CASE(TheSameDataCentreIsPreferredWhileItHasRoom) {
+  std::vector<UpstreamOption> options = {{"near", 10, 4, true, false},
+                                         {"far", 10, 2, false, false}};
+  BOOST_TEST(*ChooseUpstream(options, 0.9) == 0);
+  options[0].in_use_ = 8;
+  BOOST_TEST(*ChooseUpstream(options, 0.9) == 1);
+}
+
+// Pattern: an upstream answers fast because it fails, and would draw all requests.
+BOOST_AUTO_TEST_CASE(AFailingUpstreamIsAvoidedWhileOthersHaveRoom) {
+  std::vector<UpstreamOption> options = {{"bad", 10, 0, true, true}, {"good", 10, 6, true, false}};
+  BOOST_TEST(*ChooseUpstream(options, 0.0) == 1);
+  options[1].in_use_ = 14;
+  BOOST_TEST(*ChooseUpstream(options, 0.0) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutOptionsThereIsNoChoice) {
+  BOOST_TEST(!ChooseUpstream({}, 0.5).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Loads)
+
+// Pattern: a few neighbouring keys get most of the requests.
+BOOST_AUTO_TEST_CASE(BusyKeysGetPiecesOfTheirOwn) {
+  KeyLoad load;
+  load.decayed_at_ = At(0);
+  for (std::uint32_t key = 0; key < 1000; ++key) {
+    CountKey(load, key * 60);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    CountKey(load, 30'001);
+  }
+  const std::vector<LoadPiece> pieces = LoadPieces(load, 16);
+  BOOST_TEST(pieces.size() <= 16);
+  bool alone = false;
+  for (const LoadPiece& piece : pieces) {
+    alone = alone || (piece.first_ == 30'001 && piece.per_second_ > 700 && piece.last_ < 30'100);
+  }
+  BOOST_TEST(alone);
+}
+
+BOOST_AUTO_TEST_CASE(OldLoadIsForgotten) {
+  KeyLoad load;
+  load.decayed_at_ = At(0);
+  CountKey(load, 5);
+  Decay(load, At(10'000));
+  BOOST_TEST(LoadPieces(load, 4).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- /dev/null
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -0,0 +1,261 @@
+#define BOOST_TEST_MODULE UpstreamClient
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibTransport/loopback.h"
+#include "LibTransport/response_reader.h"
+#include "LibTransport/upstream_client.h"
+
+namespace sassafrasbay {
+namespace {
+
+/// An upstream on plain sockets that reads requests and answers with prepared bytes. Counts the
+/// requests that arrive, over all connections.
+class ByteUpstream {
+ public:
+  explicit ByteUpstream(ReactorLoop& loop) : loop_(loop) {
+    listener_ = OpenListenSocket("127.0.0.1", 0).value();
+    static_cast<void>(loop_.Watch(listener_, static_cast<unsigned>(Readiness::kRead),
+                                  [this](unsigned) { Accept(); }));
+  }
+  ~ByteUpstream() {
+    loop_.Unwatch(listener_);
+    close(listener_);
+    for (const int socket : sockets_) {
+      loop_.Unwatch(socket);
+      close(socket);
+    }
+  }
+  ByteUpstream(const ByteUpstream&) = delete;
+  ByteUpstream& operator=(const ByteUpstream&) = delete;
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(BoundPort(listener_)); }
+
+  /// Bytes for the n-th request, from 1; nothing closes the connection instead.
+  std::function<std::optional<std::string>(int number, const std::string& id)> answer_;
+  bool close_after_answer_ = false;
+  int requests_ = 0;
+  int connections_ = 0;
+
+ private:
+  void Accept() {
+    const int socket = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+      return;
+    }
+    ++connections_;
+    sockets_.push_back(socket);
+    static_cast<void>(loop_.Watch(socket, static_cast<unsigned>(Readiness::kRead),
+                                  [this, socket](unsigned) { Read(socket); }));
+  }
+
+  void Read(int socket) {
+    char buffer[4096];
+    const ssize_t count = recv(socket, buffer, sizeof(buffer), 0);
+    if (count <= 0) {
+      Close(socket);
+      return;
+    }
+    ++requests_;
+    const std::string text(buffer, static_cast<std::size_t>(count));
+    const std::size_t start = text.find("Id: ") + 4;
+    const auto bytes = answer_(requests_, text.substr(start, text.find("\r\n", start) - start));
+    if (bytes) {
+      send(socket, bytes->data(), bytes->size(), MSG_NOSIGNAL);
+    }
+    if (!bytes || close_after_answer_) {
+      Close(socket);
+    }
+  }
+
+  void Close(int socket) {
+    loop_.Unwatch(socket);
+    close(socket);
+    std::erase(sockets_, socket);
+  }
+
+  ReactorLoop& loop_;
+  int listener_ = -1;
+  std::vector<int> sockets_;
+};
+
+std::string Ok(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+struct Fixture {
+  Fixture() : upstream_(loop_), client_(loop_) { client_.SetAddress(upstream_.Address()); }
+
+  UpstreamResult Call(const std::string& method, const std::string& id,
+                      const std::string& body = {}) {
+    UpstreamCall call;
+    call.request_ = {method, "/", {{"Host", "h"}, {"Id", id}}, body};
+    call.timeout_ = milliseconds(500);
+    call.echoed_header_ = "Id";
+    std::optional<UpstreamResult> result;
+    client_.Start(std::move(call), [&](UpstreamResult value) {
+      result = std::move(value);
+      // Lets the connection see what the upstream sends after the answer.
+      loop_.StartTimer(milliseconds(20), [&] { loop_.Stop(); });
+    });
+    RunGuarded(loop_);
+    BOOST_REQUIRE(result.has_value());
+    return std::move(*result);
+  }
+
+  ReactorLoop loop_;
+  ByteUpstream upstream_;
+  UpstreamClient client_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamCalls, Fixture)
+
+BOOST_AUTO_TEST_CASE(KeepsConnections) {
+  upstream_.answer_ = [](int, const std::string& id) { return Ok(id, "body"); };
+  for (const std::string id : {"1", "2", "3"}) {
+    const UpstreamResult result = Call("GET", id);
+    BOOST_REQUIRE(result.response_.has_value());
+    BOOST_TEST(result.response_.value().body_ == "body");
+  }
+  BOOST_TEST(upstream_.connections_ == 1);
+}
+
+// A client that repeats by itself runs a binding request twice, and a caller sees one answer.
+BOOST_AUTO_TEST_CASE(ARequestThatIsReadOnAKeptConnectionAndClosedArrivesOnce) {
+  upstream_.answer_ = [](int number, const std::string& id) -> std::optional<std::string> {
+    if (number == 1) {
+      return Ok(id, "");
+    }
+    return std::nullopt;
+  };
+  BOOST_REQUIRE(Call("POST", "1").response_.has_value());
+  for (const std::string body : {"", "some bytes"}) {
+    upstream_.requests_ = 0;
+    upstream_.answer_ = [first = true](
+                            int, const std::string& id) mutable -> std::optional<std::string> {
+      return std::exchange(first, false) ? std::optional(Ok(id, "")) : std::nullopt;
+    };
+    BOOST_REQUIRE(Call("POST", "2", body).response_.has_value());
+    const UpstreamResult result = Call("POST", "3", body);
+    BOOST_TEST(!result.response_.has_value());
+    BOOST_TEST(result.maybe_sent_);
+    BOOST_TEST(upstream_.requests_ == 2);
+  }
+}
+
+// A late or extra response must not reach the next request on the connection.
+BOOST_AUTO_TEST_CASE(AnExtraResponseBelongsToNobody) {
+  upstream_.answer_ = [](int, const std::string& id) { return Ok(id, "a") + Ok(id, "extra"); };
+  BOOST_TEST(Call("GET", "1").response_.value().body_ == "a");
+  BOOST_TEST(Call("GET", "2").response_.value().body_ == "a");
+  BOOST_TEST(upstream_.connections_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AResponseToAnotherRequestIsAnError) {
+  upstream_.answer_ = [](int, const std::string&) { return Ok("other", "a"); };
+  const UpstreamResult result = Call("GET", "1");
+  BOOST_REQUIRE(!result.response_.has_value());
+  BOOST_TEST((result.response_.error().code_ == make_error_code(Errc::kMalformed)));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersThatEndEarlyAreNotComplete) {
+  upstream_.close_after_answer_ = true;
+  for (const std::string bytes :
+       {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\n", "HTTP/1.1 2", "no answer at all\r\n\r\n"}) {
+    upstream_.answer_ = [&](int, const std::string&) { return bytes; };
+    const UpstreamResult result = Call("GET", "1");
+    BOOST_TEST(!result.response_.has_value(), bytes);
+    BOOST_TEST(result.maybe_sent_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResponseWithoutALengthEndsWithItsConnection) {
+  upstream_.close_after_answer_ = true;
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nabc";
+  };
+  BOOST_TEST(Call("GET", "1").response_.value().body_ == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedAndInterimResponsesAreRead) {
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  };
+  BOOST_TEST(Call("GET", "1").response_.value().body_ == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedConnectionHasSentNothing) {
+  ReactorLoop other_loop;
+  std::string address;
+  {
+    const ByteUpstream closed(other_loop);
+    address = closed.Address();
+  }
+  client_.SetAddress(address);
+  const UpstreamResult result = Call("GET", "1");
+  BOOST_TEST(!result.response_.has_value());
+  BOOST_TEST(!result.maybe_sent_);
+  BOOST_TEST(result.refused_);
+}
+
+BOOST_AUTO_TEST_CASE(CloseInAnAnswerIsHonoured) {
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  };
+  Call("GET", "1");
+  Call("GET", "2");
+  BOOST_TEST(upstream_.connections_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdleLimitShorterThanTheMarginIsNotUsed) {
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+  };
+  Call("GET", "1");
+  Call("GET", "2");
+  BOOST_TEST(upstream_.connections_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Reading)
+
+// The parser must come to the same result however the bytes are cut.
+BOOST_AUTO_TEST_CASE(BytesMayArriveOneByOne) {
+  const std::string text = Ok("1", "abcdef") + "rest";
+  ResponseReader reader(1000);
+  std::size_t used = 0;
+  while (!reader.IsComplete()) {
+    const Result<std::size_t> taken = reader.Receive(std::string_view(text).substr(used, 1));
+    BOOST_REQUIRE(taken.has_value());
+    used += taken.value();
+  }
+  BOOST_TEST(used == text.size() - 4);
+  BOOST_TEST(reader.TakeResponse().body_ == "abcdef");
+}
+
+BOOST_AUTO_TEST_CASE(LeavesBytesAfterTheResponse) {
+  const std::string text = Ok("1", "abc");
+  ResponseReader reader(1000);
+  BOOST_TEST(reader.Receive(text + "xyz").value() == text.size());
+}
+
+BOOST_AUTO_TEST_CASE(ABodyOverTheBoundIsTooLarge) {
+  ResponseReader reader(4);
+  const Result<std::size_t> taken = reader.Receive(Ok("1", "abcdef"));
+  BOOST_REQUIRE(!taken.has_value());
+  BOOST_TEST((taken.error().code_ == make_error_code(Errc::kTooLarge)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -234,7 +234,8 @@
     }
     // The former process's keeper may still be called by the store; it is leaked into the record of
     // pending calls by keeping it alive there.
-    static_cast<void>(node.keeper_.release());  // NOLINT: a call of the dead process may refer to it
+    static_cast<void>(
+        node.keeper_.release());  // NOLINT: a call of the dead process may refer to it
     Restart(node);
   }
   if (now_ < node.frozen_until_) {
@@ -271,13 +272,12 @@
   }
   HeartbeatAnswer answer;
   const bool registered = node.registered_at_ > 0 && node.read_to_ >= node.registered_at_;
-  if (registered &&
-      !node.keeper_->MayLoseRanges(*node.registry_.own_.holder_, node.read_to_)) {
+  if (registered && !node.keeper_->MayLoseRanges(*node.registry_.own_.holder_, node.read_to_)) {
     answer = DecideAnswer(node.table_, View(node), node.confirmed_, milliseconds(10'000));
   }
   NoteGrant(node.registry_, answer, now_);
-  node.answers_.push_back({now_ + (Chance(0.1) ? Between(0, 900) : milliseconds(0)), now_,
-                           beat.born_ms_, answer});
+  node.answers_.push_back(
+      {now_ + (Chance(0.1) ? Between(0, 900) : milliseconds(0)), now_, beat.born_ms_, answer});
 }
 
 void OwnershipModel::Apply(ModelNode& node, const ModelAnswer& answer) {
@@ -379,7 +379,8 @@
 }
 
 double OwnershipModel::HeldShare() const {
-  return static_cast<double>(held_samples_) / static_cast<double>(std::max<std::uint64_t>(1, samples_));
+  return static_cast<double>(held_samples_) /
+         static_cast<double>(std::max<std::uint64_t>(1, samples_));
 }
 
 }  // namespace sassafrasbay
--- a/Tests/Services/ownership_model.h
+++ b/Tests/Services/ownership_model.h
@@ -69,7 +69,8 @@
   BootTime no_store_until_{};
   BootTime no_peers_until_{};
   BootTime started_{};
-  std::uint64_t registered_at_ = 0;  ///< End of the topic that its registration needs to be read to.
+  std::uint64_t registered_at_ =
+      0;  ///< End of the topic that its registration needs to be read to.
   std::uint64_t read_to_ = 0;
   KeyTable table_{"lookup", 0, {}};
   BootTime confirmed_{};
@@ -80,8 +81,8 @@
   std::vector<ModelAnswer> answers_;
 };
 
-/// Nodes, their upstreams and the store, with random faults. Checks that no two upstreams hold a key
-/// at the same time and that tokens rise.
+/// Nodes, their upstreams and the store, with random faults. Checks that no two upstreams hold a
+/// key at the same time and that tokens rise.
 class OwnershipModel {
  public:
   /// `trace` writes faults, tables and answers to standard output.
--- a/Tests/platform/store_stand_in.cc
+++ b/Tests/platform/store_stand_in.cc
@@ -44,11 +44,10 @@
 }  // namespace
 
 StoreStandIn::StoreStandIn(ReactorLoop& loop) : loop_(loop) {
-  auto server = HttpServerBuilder(loop)
-                    .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
-                      Handle(exchange);
-                    })
-                    .Build();
+  auto server =
+      HttpServerBuilder(loop)
+          .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) { Handle(exchange); })
+          .Build();
   server_ = std::move(server.value());
   loop_.StartRepeatingTimer(kPoll, [this] { AnswerWaiting(); });
 }
--- a/Tests/platform/store_stand_in.h
+++ b/Tests/platform/store_stand_in.h
@@ -22,7 +22,8 @@
   kLoseAnswer,  ///< Does what is asked and never answers.
 };
 
-/// The platform's store, written from its published protocol: keyed topics with conditional appends.
+/// The platform's store, written from its published protocol: keyed topics with conditional
+/// appends.
 class StoreStandIn {
  public:
   explicit StoreStandIn(ReactorLoop& loop);
@@ -42,7 +43,7 @@
 
  private:
   struct Topic {
-    std::uint64_t first_ = 0;  ///< First retained offset.
+    std::uint64_t first_ = 0;           ///< First retained offset.
     std::vector<KeyedRecord> records_;  ///< From `first_` on.
     std::map<std::string, KeyedRecord> newest_;
     std::uint64_t End() const { return first_ + records_.size(); }
--- a/Tests/platform/test_heartbeat_codec.cc
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -52,8 +52,7 @@
   answer.length_ = milliseconds(4000);
   BOOST_TEST(EncodeHeartbeatAnswer(answer) == R"({"hold_time":"4000ms","holds":[]})");
   answer.ranges_ = {{{0, 9}, 7, "ab"}};
-  BOOST_TEST(EncodeHeartbeatAnswer(answer) ==
-             R"({"hold_time":"4000ms","holds":[[0,9,7,"ab"]]})");
+  BOOST_TEST(EncodeHeartbeatAnswer(answer) == R"({"hold_time":"4000ms","holds":[[0,9,7,"ab"]]})");
 }
 
 BOOST_AUTO_TEST_CASE(ReadsThePathsOfInstanceCalls) {
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -31,8 +31,9 @@
 
   Result<std::uint64_t> Append(const std::string& key, const std::string& value,
                                std::optional<std::uint64_t> at) {
-    return Wait<std::uint64_t>(
-        [&](auto done) { store_.Append("keyed.t", {0, key, value}, at, done); });
+    return Wait<std::uint64_t>([&](auto done) {
+      store_.Append("keyed.t", {0, key, value}, at, done);
+    });
   }
 
   Result<RecordBatch> Read(std::uint64_t from) {
@@ -76,7 +77,8 @@
   server_.page_ = 2;
   for (int i = 0; i < 5; ++i) {
     server_.Append("keyed.t", "k" + std::to_string(i), "old");
-    server_.Append("keyed.t", "k" + std::to_string(i), std::string(static_cast<std::size_t>(i + 1), 'x'));
+    server_.Append("keyed.t", "k" + std::to_string(i),
+                   std::string(static_cast<std::size_t>(i + 1), 'x'));
   }
   server_.Append("keyed.t", "k0", "");
   const RecordBatch batch = Newest().value();
