--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -20,6 +20,7 @@
   kStateTransfer = 36,
   kSuspect = 37,
   kDemandReport = 38,
+  kTableRecord = 39,
 };
 
 Cbor Start(Type type) { return {{"t", static_cast<std::uint64_t>(type)}}; }
@@ -109,6 +110,13 @@
   return SerializeFrame(value);
 }
 
+std::string Write(const TableRecord& message) {
+  Cbor value = Start(Type::kTableRecord);
+  value["o"] = message.offset_;
+  value["k"] = Bytes(message.key_);
+  return SerializeFrame(value, message.value_);
+}
+
 std::string Write(const DemandReport& message) {
   Cbor value = Start(Type::kDemandReport);
   value["a"] = message.address_;
@@ -197,6 +205,14 @@
   return message;
 }
 
+TableRecord ReadTableRecord(FieldReader& reader) {
+  TableRecord message;
+  Read(reader, "o", message.offset_);
+  message.key_ = TakeBytes(reader, "k");
+  message.value_ = TakeBytes(reader, kBodyField);
+  return message;
+}
+
 DemandReport ReadDemandReport(FieldReader& reader) {
   DemandReport message;
   message.address_ = TakeText(reader, "a");
@@ -268,6 +284,9 @@
     case Type::kStateTransfer:
       message = ReadStateTransfer(reader);
       break;
+    case Type::kTableRecord:
+      message = ReadTableRecord(reader);
+      break;
     case Type::kDemandReport:
       message = ReadDemandReport(reader);
       break;
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -103,6 +103,13 @@
   std::vector<std::pair<std::string, std::string>> records_;  ///< Newest records of the topic.
 };
 
+/// A record of the topic of tables that the sender has written.
+struct TableRecord {
+  std::uint64_t offset_ = 0;
+  std::string key_;
+  std::string value_;
+};
+
 /// Demand on the upstream beside the sender, for the node that plans.
 struct DemandReport {
   std::string address_;  ///< Peer address of the sender.
@@ -112,7 +119,7 @@
 };
 
 using NodeMessage = std::variant<ForwardedRequest, ForwardedAnswer, CancelForwarded, NodeReport,
-                                 StateTransfer, DemandReport, Suspect>;
+                                 StateTransfer, TableRecord, DemandReport, Suspect>;
 
 /// CBOR, one message a frame.
 std::string EncodeNodeMessage(const NodeMessage& message);
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -16,18 +16,28 @@
 
 constexpr std::string_view kPart = "control";
 
+/// Where a configuration came from, in the log.
+constexpr std::string_view kFromStore = "store";
+constexpr std::string_view kFromPeer = "peer";
+
 /// Two long reads, one write and a spare.
 constexpr int kStoreConnections = 8;
 
 /// Interval of decisions that no event triggers, such as the end of a wait.
 constexpr milliseconds kDecisionInterval{100};
 
-/// Time that a read waits at the store. Calls are paid for. Two nodes read often and confirm to the
-/// others that the tables are the newest, which grants depend on; reports show the others within a
-/// quarter of a second when a read has gone silent.
-constexpr milliseconds kOftenReadWait{1000};
-constexpr milliseconds kSeldomReadWait{4000};
-constexpr std::size_t kOftenReaders = 2;
+/// Calls of the store are paid for, and a long read of each node would be answered for each record.
+/// So a few nodes read for all. They confirm to the others that the tables are the newest, which
+/// grants depend on, and pass the configuration on; writers pass on what they write. The others
+/// read seldom, and when a report shows that they lack something.
+constexpr std::size_t kReaders = 3;
+/// A read that has gone silent is noticed after this and the store client's slack; a configuration
+/// has to be in force everywhere within 2 s.
+constexpr ReadPace kReaderPace{milliseconds(900), milliseconds(0)};
+constexpr ReadPace kOtherPace{milliseconds(0), milliseconds(5000)};
+
+/// What a report shows may be on its way from the writer.
+constexpr milliseconds kLagTolerated{60};
 
 /// The answer to a heartbeat may be this late while a range is about to arrive: an upstream takes
 /// an answer up to a second late, and sooner than with its next heartbeat.
@@ -74,14 +84,14 @@
     : shared_(shared),
       client_(loop_, kStoreConnections),
       store_(client_, shared.environment_.store_),
-      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kSeldomReadWait,
+      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kReaderPace,
                       {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        [](BootTime) {}, [](bool) {}}),
-      fleet_topic_(loop_, store_, std::string(kFleetTopic), kOftenReadWait,
+      fleet_topic_(loop_, store_, std::string(kFleetTopic), kReaderPace,
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
                     [this](BootTime asked) { OnTablesCurrent(asked); },
                     [this](bool reached) { shared_.reaches_store_ = reached; }}),
-      keeper_(store_),
+      keeper_(store_, [this](const KeyedRecord& record) { OnWritten(record); }),
       life_(RandomId()) {
   registry_.self_ = shared_.self_;
 }
@@ -103,7 +113,7 @@
   operator_topic_.Start();
   fleet_topic_.Start();
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
-    ChooseReadWait();
+    ChooseReaders();
     Decide();
     AnswerHeldBeats();
   });
@@ -118,6 +128,11 @@
   calls.state_received_ = [this](StateTransfer state) {
     loop_.Post([this, state = std::move(state)] { OnState(state); });
   };
+  calls.record_received_ = [this](TableRecord record) {
+    loop_.Post([this, record = std::move(record)] {
+      fleet_topic_.Push({record.offset_, record.key_, record.value_});
+    });
+  };
   calls.demand_received_ = [this](DemandReport demand) {
     loop_.Post([this, demand = std::move(demand)] {
       demand_[demand.address_] = {demand, BootClock::now()};
@@ -137,7 +152,7 @@
 
 void ControlThread::OnOperatorRecord(const KeyedRecord& record) {
   if (record.key_ == platform::kConfigurationKey && !record.value_.empty()) {
-    ApplyConfiguration(record.value_, "store");
+    ApplyConfiguration(record.value_, kFromStore);
   }
 }
 
@@ -156,9 +171,19 @@
                      " source=" + std::string(source) + " is in force.");
   routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
   configuration_text_ = text;
+  if (source == kFromStore) {
+    StateTransfer state;
+    state.configuration_ = configuration_text_;
+    traffic_.broadcast_(std::move(state));
+  }
   ScheduleUpdate();
 }
 
+void ControlThread::OnWritten(const KeyedRecord& record) {
+  traffic_.broadcast_(TableRecord{record.offset_, record.key_, record.value_});
+  fleet_topic_.Push(record);
+}
+
 void ControlThread::OnFleetRecord(const KeyedRecord& record) {
   if (record.value_.empty()) {
     records_.erase(record.key_);
@@ -202,11 +227,14 @@
   registering_ = true;
   const nlohmann::json value = {{"data_centre", shared_.environment_.data_centre_},
                                 {"life", life_}};
+  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_, value.dump()};
   store_.Append(
-      kFleetTopic, {0, std::string(kNodePrefix) + shared_.self_, value.dump()}, std::nullopt,
-      [this](const Result<std::uint64_t>& offset) {
+      kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
         if (offset) {
-          return;  // The follower reads it back.
+          OnWritten({offset.value(), record.key_, record.value_});
+          // Others that register at the same time come before it.
+          fleet_topic_.ReadNow();
+          return;
         }
         registering_ = false;
         LogWarning(kPart, "registration not written reason=\"" + ToString(offset.error()) + "\".");
@@ -236,12 +264,14 @@
                        static_cast<std::int64_t>(report.tables_age_ms_);
     ConfirmTables(BootTime(milliseconds(since)));
   }
-  if (report.tables_end_ > fleet_topic_.End() && fleet_topic_.IsReached()) {
-    fleet_topic_.ReadNow();
+  if (report.tables_end_ > fleet_topic_.End()) {
+    ReadIfBehind(fleet_topic_,
+                 [this, end = report.tables_end_] { return fleet_topic_.End() < end; });
   }
-  if (routes_ != nullptr && report.configuration_version_ > routes_->version_ &&
-      operator_topic_.IsReached()) {
-    operator_topic_.ReadNow();
+  if (routes_ != nullptr && report.configuration_version_ > routes_->version_) {
+    ReadIfBehind(operator_topic_, [this, version = report.configuration_version_] {
+      return routes_->version_ < version;
+    });
   }
   const std::string address = report.address_;
   const auto known = peers_.find(address);
@@ -256,7 +286,7 @@
 
 void ControlThread::OnState(const StateTransfer& state) {
   if (!state.configuration_.empty()) {
-    ApplyConfiguration(state.configuration_, "peer");
+    ApplyConfiguration(state.configuration_, kFromPeer);
   }
   if (state.tables_end_ <= fleet_topic_.End()) {
     return;
@@ -425,14 +455,24 @@
   return view;
 }
 
-void ControlThread::ChooseReadWait() {
+void ControlThread::ReadIfBehind(TopicFollower& topic, std::function<bool()> is_behind) {
+  loop_.StartTimer(kLagTolerated, [&topic, is_behind = std::move(is_behind)] {
+    if (is_behind() && topic.IsReached()) {
+      topic.ReadNow();
+    }
+  });
+}
+
+void ControlThread::ChooseReaders() {
   const BootTime now = BootClock::now();
   const auto lower =
       static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
         return peer.first < shared_.self_ && peer.second.report_.reaches_store_ &&
                now - peer.second.received_ < kSuspectAfter;
       }));
-  fleet_topic_.SetWait(lower < kOftenReaders ? kOftenReadWait : kSeldomReadWait);
+  const bool reads = lower < kReaders || !registered_ || routes_ == nullptr;
+  fleet_topic_.SetPace(reads ? kReaderPace : kOtherPace);
+  operator_topic_.SetPace(reads ? kReaderPace : kOtherPace);
 }
 
 void ControlThread::Decide() {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -56,7 +56,9 @@
   const KeyTable* OwnTable() const;
   OwnershipView MakeView(const std::string& service) const;
   void Decide();
-  void ChooseReadWait();
+  void ChooseReaders();
+  void ReadIfBehind(TopicFollower& topic, std::function<bool()> is_behind);
+  void OnWritten(const KeyedRecord& record);
   void Register();
   void Publish();
   void ScheduleUpdate();
--- a/Services/sassafrasbay/router/ownership_keeper.cc
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -19,7 +19,9 @@
 
 }  // namespace
 
-OwnershipKeeper::OwnershipKeeper(RecordStore& store) : store_(store) {}
+OwnershipKeeper::OwnershipKeeper(RecordStore& store,
+                                 std::function<void(const KeyedRecord&)> on_written)
+    : store_(store), on_written_(std::move(on_written)) {}
 
 void OwnershipKeeper::Decide(const KeyTable& table, std::uint64_t end, OwnershipView view) {
   if (open_ && end > open_->at_) {
@@ -45,19 +47,21 @@
   open_ = OpenWrite{end, table, change->table_};
   in_flight_ = true;
   decided_at_ = view.now_;
-  store_.Append(kFleetTopic,
-                {0, std::string(kTablePrefix) + table.service_, EncodeKeyTable(change->table_)},
-                end, [this, reason = change->reason_](Result<std::uint64_t> offset) {
-                  OnWritten(reason, std::move(offset));
+  const KeyedRecord record{0, std::string(kTablePrefix) + table.service_,
+                           EncodeKeyTable(change->table_)};
+  store_.Append(kFleetTopic, record, end,
+                [this, record, reason = change->reason_](Result<std::uint64_t> offset) {
+                  OnWritten(reason, record, std::move(offset));
                 });
 }
 
-void OwnershipKeeper::OnWritten(const std::string& reason, Result<std::uint64_t> offset) {
+void OwnershipKeeper::OnWritten(const std::string& reason, KeyedRecord record,
+                                Result<std::uint64_t> offset) {
   in_flight_ = false;
   const BootTime now = decided_at_;
   if (offset) {
-    // The follower reads the record before the next decision on this table.
-    pause_until_ = now + kPauseAfterConflict;
+    record.offset_ = offset.value();
+    on_written_(record);
     return;
   }
   const bool conflict = offset.error().code_ == make_error_code(Errc::kConflict);
--- a/Services/sassafrasbay/router/ownership_keeper.h
+++ b/Services/sassafrasbay/router/ownership_keeper.h
@@ -19,7 +19,8 @@
 /// Writes the changes of the key tables that this node decides on, one at a time.
 class OwnershipKeeper {
  public:
-  explicit OwnershipKeeper(RecordStore& store);
+  /// `on_written` gets each record that has been written.
+  OwnershipKeeper(RecordStore& store, std::function<void(const KeyedRecord&)> on_written);
   OwnershipKeeper(const OwnershipKeeper&) = delete;
   OwnershipKeeper& operator=(const OwnershipKeeper&) = delete;
 
@@ -42,9 +43,10 @@
     KeyTable after_;
   };
 
-  void OnWritten(const std::string& reason, Result<std::uint64_t> offset);
+  void OnWritten(const std::string& reason, KeyedRecord record, Result<std::uint64_t> offset);
 
   RecordStore& store_;
+  std::function<void(const KeyedRecord&)> on_written_;
   std::map<ChangeKey, BootTime> first_read_;
   std::map<Holder, BootTime> kept_;  ///< When a node took back ranges that others thought lost.
   std::optional<OpenWrite> open_;
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -69,12 +69,14 @@
 struct RouterControlCalls {
   std::function<void(PeerFacts)> report_received_;
   std::function<void(StateTransfer)> state_received_;
+  std::function<void(TableRecord)> record_received_;
   std::function<void(DemandReport)> demand_received_;
   std::function<void()> upstream_refused_;  ///< The upstream's port refuses connections.
 };
 
 /// Calls from control to traffic; each posts to the traffic thread.
 struct RouterTrafficCalls {
+  std::function<void(NodeMessage)> broadcast_;  ///< Sends to all other nodes.
   std::function<void(std::shared_ptr<const RouterSnapshot>)> snapshot_published_;
 };
 
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -17,8 +17,8 @@
 }  // namespace
 
 TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic,
-                             milliseconds wait, Hooks hooks)
-    : loop_(loop), store_(store), topic_(std::move(topic)), wait_(wait), hooks_(std::move(hooks)) {}
+                             const ReadPace& pace, Hooks hooks)
+    : loop_(loop), store_(store), topic_(std::move(topic)), pace_(pace), hooks_(std::move(hooks)) {}
 
 TopicFollower::~TopicFollower() { loop_.CancelTimer(timer_); }
 
@@ -33,6 +33,25 @@
   ReadNow();
 }
 
+void TopicFollower::SetPace(const ReadPace& pace) {
+  if (pace == pace_) {
+    return;
+  }
+  pace_ = pace;
+  if (timer_ != 0 && failures_ == 0) {
+    ReadNow();
+  }
+}
+
+bool TopicFollower::Push(const KeyedRecord& record) {
+  if (!current_ || record.offset_ != end_) {
+    return false;
+  }
+  ++end_;
+  hooks_.on_record_(record);
+  return true;
+}
+
 void TopicFollower::ReadNow() {
   loop_.CancelTimer(timer_);
   timer_ = 0;
@@ -78,11 +97,15 @@
   failures_ = 0;
   SetReached(true, {});
   for (const KeyedRecord& record : batch.value().records_) {
-    hooks_.on_record_(record);
+    // Records below the end were passed on by another node meanwhile.
+    if (newest || record.offset_ >= end_) {
+      end_ = newest ? end_ : record.offset_ + 1;
+      hooks_.on_record_(record);
+    }
+  }
+  if (newest) {
+    end_ = batch.value().end_;
   }
-  const std::uint64_t read_to =
-      batch.value().records_.empty() ? end_ : batch.value().records_.back().offset_ + 1;
-  end_ = newest ? batch.value().end_ : read_to;
   current_ = true;
   // Newest records aren't a snapshot, and a batch may end before the end of the topic; reading on
   // without a wait shows what is missing.
@@ -90,19 +113,27 @@
   if (complete) {
     hooks_.on_current_(asked);
   }
-  ReadOn(complete ? wait_ : milliseconds(0));
+  if (complete && pace_.pause_.count() > 0) {
+    ReadAfter(pace_.pause_);
+    return;
+  }
+  ReadOn(complete ? pace_.wait_ : milliseconds(0));
 }
 
-void TopicFollower::RetryLater(const Error& error) {
-  SetReached(false, ToString(error));
-  const milliseconds pause = std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 4)));
-  ++failures_;
+void TopicFollower::ReadAfter(milliseconds pause) {
   timer_ = loop_.StartTimer(pause, [this] {
     timer_ = 0;
     ReadNow();
   });
 }
 
+void TopicFollower::RetryLater(const Error& error) {
+  SetReached(false, ToString(error));
+  const milliseconds pause = std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 4)));
+  ++failures_;
+  ReadAfter(pause);
+}
+
 void TopicFollower::SetReached(bool reached, std::string_view reason) {
   if (reached_ == reached) {
     return;
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -12,6 +12,14 @@
 
 namespace sassafrasbay {
 
+/// How a topic is read once all its records are known.
+struct ReadPace {
+  milliseconds wait_{1000};  ///< Time that a read waits at the store for a new record.
+  milliseconds pause_{0};    ///< Time between two reads.
+
+  friend bool operator==(const ReadPace&, const ReadPace&) = default;
+};
+
 /// Keeps up with a keyed topic of the store: the newest record of each key, then every record from
 /// there on.
 class TopicFollower {
@@ -25,7 +33,7 @@
     std::function<void(bool reached)> on_reached_;
   };
 
-  TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, milliseconds wait,
+  TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic, const ReadPace& pace,
                 Hooks hooks);
   ~TopicFollower();
   TopicFollower(const TopicFollower&) = delete;
@@ -33,8 +41,12 @@
 
   void Start();
 
-  /// Time that a read waits at the store for a new record, from the next read on.
-  void SetWait(milliseconds wait) { wait_ = wait; }
+  /// How reads follow each other from now on.
+  void SetPace(const ReadPace& pace);
+
+  /// Takes the record with the offset End(), which another node has passed on. False when it isn't
+  /// the next one.
+  bool Push(const KeyedRecord& record);
 
   /// Offset up to which all records are known; the next record gets it, as far as is known.
   std::uint64_t End() const { return end_; }
@@ -51,6 +63,7 @@
  private:
   void ReadNewest();
   void ReadOn(milliseconds wait);
+  void ReadAfter(milliseconds pause);
   void OnBatch(std::uint64_t round, BootTime asked, Result<RecordBatch> batch, bool newest);
   void RetryLater(const Error& error);
   void SetReached(bool reached, std::string_view reason);
@@ -58,7 +71,7 @@
   ReactorLoop& loop_;
   RecordStore& store_;
   std::string topic_;
-  milliseconds wait_;
+  ReadPace pace_;
   Hooks hooks_;
   std::uint64_t end_ = 0;
   std::uint64_t round_ = 0;  ///< Answers of earlier rounds are ignored.
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -57,14 +57,7 @@
   hooks.on_caller_lost_ = [this](ConnectionId connection) { OnCallerLost(connection); };
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
   gate_.SetHooks({[this] { control_.upstream_refused_(); },
-                  [this](const Suspect& suspect) {
-                    if (snapshot_ == nullptr) {
-                      return;
-                    }
-                    for (const Member& member : snapshot_->members_) {
-                      links_.Send(member.address_, suspect);
-                    }
-                  }});
+                  [this](const Suspect& suspect) { Broadcast(suspect); }});
   const platform::NodeEnvironment& environment = shared_.environment_;
   constexpr std::size_t kMaxBodyBytes = 64U << 20U;  ///< The operators' largest bound.
   auto callers = HttpServerBuilder(loop_)
@@ -106,9 +99,21 @@
   calls.snapshot_published_ = [this](std::shared_ptr<const RouterSnapshot> snapshot) {
     loop_.Post([this, snapshot = std::move(snapshot)] { SetSnapshot(snapshot); });
   };
+  calls.broadcast_ = [this](NodeMessage message) {
+    loop_.Post([this, message = std::move(message)] { Broadcast(message); });
+  };
   return calls;
 }
 
+void TrafficThread::Broadcast(const NodeMessage& message) {
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  for (const Member& member : snapshot_->members_) {
+    links_.Send(member.address_, message);
+  }
+}
+
 void TrafficThread::SetSnapshot(const std::shared_ptr<const RouterSnapshot>& snapshot) {
   const bool upstream_changed =
       snapshot->upstream_ != nullptr &&
@@ -145,6 +150,8 @@
     OnReport(connection, *report);
   } else if (auto* state = std::get_if<StateTransfer>(&message)) {
     control_.state_received_(std::move(*state));
+  } else if (auto* record = std::get_if<TableRecord>(&message)) {
+    control_.record_received_(std::move(*record));
   } else if (auto* demand = std::get_if<DemandReport>(&message)) {
     control_.demand_received_(std::move(*demand));
   } else if (const auto* suspect = std::get_if<Suspect>(&message)) {
@@ -299,6 +306,8 @@
   const bool idle = router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0;
   if (now > latest || (now > earliest && idle)) {
     LogInfo(kPart, std::string("leaving idle=") + (idle ? "true." : "false."));
+    // At once, so that no further request is read from a kept connection.
+    loop_.Stop();
     done();
     return;
   }
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -41,6 +41,7 @@
   void OnForwarded(ConnectionId connection, ForwardedRequest request);
   void OnReport(ConnectionId connection, const NodeReport& report);
   void OnCallerLost(ConnectionId connection);
+  void Broadcast(const NodeMessage& message);
   void SendReports();
   void SendDemand();
   NodeReport MakeReport() const;
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -33,7 +33,8 @@
   report.upstream_ = {"s1", "i-1", 1700000000123, true};
   StateTransfer state{"text", 5, {{"k", std::string("\0v", 2)}}};
   DemandReport demand{"10.1.0.8:7620", "s1", 120.5, {{1, 9, 3.5}}};
-  return {request, answer, CancelForwarded{7}, report, state, demand, Suspect{9, 2}};
+  return {request, answer,       CancelForwarded{7}, report, state, TableRecord{3, "k", "v"},
+          demand,  Suspect{9, 2}};
 }
 
 BOOST_AUTO_TEST_SUITE(NodeMessages)
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -105,7 +105,7 @@
   node.confirmed_ = {};
   node.registry_ = UpstreamRegistry{};
   node.registry_.self_ = node.address_;
-  node.keeper_ = std::make_unique<OwnershipKeeper>(store_);
+  node.keeper_ = std::make_unique<OwnershipKeeper>(store_, [](const KeyedRecord&) {});
 }
 
 std::string OwnershipModel::Run(milliseconds duration) {
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -116,7 +116,7 @@
 
 struct FollowerFixture : Fixture {
   FollowerFixture()
-      : follower_(loop_, store_, "keyed.t", milliseconds(200),
+      : follower_(loop_, store_, "keyed.t", ReadPace{milliseconds(200), milliseconds(0)},
                   {[this](const KeyedRecord& record) { seen_[record.key_] = record.value_; },
                    [this](BootTime) {
                      if (until_()) {
@@ -167,7 +167,7 @@
 
 // A read that has gone silent must not hide what other nodes know already.
 BOOST_AUTO_TEST_CASE(ReadsAtOnceWhenAnotherNodeKnowsMore) {
-  follower_.SetWait(milliseconds(30'000));
+  follower_.SetPace({milliseconds(30'000), milliseconds(0)});
   follower_.Start();
   loop_.StartTimer(milliseconds(100), [this] { server_.fault_ = StoreFault::kSilent; });
   loop_.StartTimer(milliseconds(300), [this] {
@@ -180,6 +180,21 @@
   BOOST_TEST(follower_.End() == 1);
 }
 
+// Records come from the store too, after another node has passed them on.
+BOOST_AUTO_TEST_CASE(TakesTheNextRecordFromAnotherNodeOnce) {
+  follower_.Start();
+  RunUntil([] { return true; });
+  BOOST_TEST(!follower_.Push({1, "b", "2"}));
+  BOOST_TEST(follower_.Push({0, "a", "1"}));
+  BOOST_TEST(follower_.End() == 1);
+  BOOST_TEST(!follower_.Push({0, "a", "0"}));
+  server_.Append("keyed.t", "a", "1");
+  server_.Append("keyed.t", "b", "2");
+  RunUntil([this] { return seen_.contains("b"); });
+  BOOST_TEST(seen_["a"] == "1");
+  BOOST_TEST(follower_.End() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
