LibOwnership: Bridge outages of the store with promises of the other nodes

All other nodes promise an owner now to take nothing for 4 s, which bridges outages of up to 12 s, and a takeover waits 4 s. A silent upstream loses its ranges in two steps, so that a restarted node may grant without having reached the store.

--- a/Libraries/LibOwnership/hold_rules.cc
+++ b/Libraries/LibOwnership/hold_rules.cc
@@ -4,11 +4,11 @@
 
 namespace sassafrasbay {
 
-// The record of a successor is written after `confirmed` at the earliest, and the successor's node
+// The record of a successor is written after `base` at the earliest, and the successor's node
 // waits for kTakeoverWait from its reading of that record. A grant that ends kTakeoverWait after
-// `confirmed` on any clock therefore ends before the successor is granted anything.
-std::optional<milliseconds> GrantLength(BootTime confirmed, BootTime now, milliseconds longest) {
-  const auto left = std::chrono::duration_cast<milliseconds>(confirmed + kTakeoverWait - now);
+// `base` on any clock therefore ends before the successor is granted anything.
+std::optional<milliseconds> GrantLength(BootTime base, BootTime now, milliseconds longest) {
+  const auto left = std::chrono::duration_cast<milliseconds>(base + kTakeoverWait - now);
   const milliseconds safe(
       static_cast<milliseconds::rep>(static_cast<double>(left.count()) / (1.0 + kClockSlowness)));
   const milliseconds length = std::min({safe, kGrantLength, longest});
--- a/Libraries/LibOwnership/hold_rules.h
+++ b/Libraries/LibOwnership/hold_rules.h
@@ -11,13 +11,18 @@
 
 /// Time from the record that names a successor until the successor's node may take the range
 /// without the owner's release. A node renews holds only up to this time after the last moment at
-/// which its table was known to be the newest. Long enough to serve through an outage of the store
-/// of several seconds; a lost VM's keys are unserved for as long.
-inline constexpr milliseconds kTakeoverWait{6000};
+/// which its table was known to be the newest, or all others promised to take nothing. A lost VM's
+/// keys are unserved for as long; a node's process restarts in less.
+inline constexpr milliseconds kTakeoverWait{4000};
+
+/// Time from a node's registration until it may take ranges over. Nodes that don't know of it rely
+/// on the promises of the others for no longer, which bounds the outage of the store that is
+/// bridged.
+inline constexpr milliseconds kNewNodeWait{12000};
 
 /// Length of one grant. Covers the restart of a node's process, about 3.5 s, beside an upstream
 /// that goes on running.
-inline constexpr milliseconds kGrantLength{4500};
+inline constexpr milliseconds kGrantLength{4000};
 
 /// Shorter grants than this would lapse before the next heartbeat.
 inline constexpr milliseconds kShortestGrant{300};
@@ -25,9 +30,9 @@
 /// An upstream's clock may run this much slower than real time while it measures a grant.
 inline constexpr double kClockSlowness = 0.02;
 
-/// Length of a grant that a heartbeat received at `now` may get when the table was last known to be
-/// the newest at `confirmed`; nothing when that is too long ago. `longest` is the upstream's bound.
-std::optional<milliseconds> GrantLength(BootTime confirmed, BootTime now, milliseconds longest);
+/// Length of a grant that a heartbeat received at `now` may get when kTakeoverWait counts from
+/// `base`; nothing when that is too long ago. `longest` is the upstream's bound.
+std::optional<milliseconds> GrantLength(BootTime base, BootTime now, milliseconds longest);
 
 /// When a grant of that length, given at `now`, has certainly ended.
 BootTime GrantEnd(BootTime now, milliseconds length);
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -56,35 +56,52 @@
 }
 
 bool IsOlderIncarnation(const OwnershipView& view, const Holder& owner) {
-  return view.own_.holder_ && owner != *view.own_.holder_ &&
-         owner.born_ms_ <= view.own_.holder_->born_ms_;
+  if (owner.born_ms_ != view.newest_born_ms_) {
+    return owner.born_ms_ < view.newest_born_ms_;
+  }
+  return view.own_.holder_ && owner != *view.own_.holder_;
 }
 
-/// Whether an owner beside this node certainly holds nothing any more. A new incarnation, or a
-/// closed port, proves that the former one is gone; silence needs the end of all grants.
-bool HoldsNothing(const OwnershipView& view, const Holder& owner) {
-  if (IsOlderIncarnation(view, owner)) {
-    return true;
-  }
+/// A new incarnation, or a closed port, proves that an owner beside this node is gone.
+bool IsGone(const OwnershipView& view, const Holder& owner) {
   const bool is_current = view.own_.holder_ && owner == *view.own_.holder_;
-  if (is_current && view.own_.gone_) {
-    return true;
-  }
-  const bool silent = view.own_.left_ || view.now_ - view.own_.last_heartbeat_ > kUpstreamSilence;
+  return is_current ? view.own_.gone_ : IsOlderIncarnation(view, owner);
+}
+
+/// Whether a silent owner beside this node holds nothing any more, because all its grants have
+/// ended. It may live, so that it may be granted the ranges again.
+bool HasLapsed(const OwnershipView& view, const Holder& owner) {
+  const bool is_current = view.own_.holder_ && owner == *view.own_.holder_;
+  const bool silent =
+      (is_current && view.own_.left_) || view.now_ - view.own_.last_heartbeat_ > kUpstreamSilence;
   // Grants of an earlier process of this node end within one wait after the start of this one.
   const BootTime earlier_grants = view.started_ + kTakeoverWait;
   return silent && view.now_ > std::max(view.own_.granted_until_, earlier_grants);
 }
 
-/// Gives away what incarnations beside this node owned that hold nothing any more.
+/// Gives away what incarnations beside this node owned that are gone. Those that have only lapsed
+/// get successors first and release in a second step: a write that takes effect late then can't
+/// take ranges that have been granted again meanwhile.
 Decision ReplaceGoneOwners(const KeyTable& table, const OwnershipView& view) {
   for (const KeyRange& range : table.ranges_) {
-    if (range.owner_.node_ != view.self_ || !HoldsNothing(view, range.owner_)) {
+    if (range.owner_.node_ != view.self_) {
       continue;
     }
-    const std::vector<Candidate> candidates = Candidates(view, true);
-    return IfChanged(table, ReplaceOwner(table, range.owner_, candidates),
-                     "upstream " + range.owner_.instance_ + " beside this node is gone");
+    const std::string name = "upstream " + range.owner_.instance_ + " beside this node ";
+    if (IsGone(view, range.owner_)) {
+      const std::vector<Candidate> candidates = Candidates(view, true);
+      return IfChanged(table, ReplaceOwner(table, range.owner_, candidates), name + "is gone");
+    }
+    if (!HasLapsed(view, range.owner_)) {
+      continue;
+    }
+    if (!range.successor_) {
+      const std::vector<Candidate> candidates = Candidates(view, false);
+      return IfChanged(table, NameSuccessors(table, range.owner_, candidates, true),
+                       name + "is silent");
+    }
+    const std::vector<ReleasedKeys> all = {{{0, kLastShardKey}, {}}};
+    return IfChanged(table, Release(table, range.owner_, all), name + "has lapsed");
   }
   return std::nullopt;
 }
@@ -141,20 +158,35 @@
 
 /// The successor's node makes it the owner once the former owner's hold has certainly ended.
 Decision CompleteWaitedMoves(const KeyTable& table, const OwnershipView& view) {
+  if (!view.registered_ || view.now_ - *view.registered_ < kNewNodeWait) {
+    return std::nullopt;
+  }
   std::vector<KeySpan> spans;
+  std::set<std::string> owners;
   for (const KeyRange& range : table.ranges_) {
-    if (!range.successor_ || range.successor_->node_ != view.self_) {
+    if (!range.successor_ || range.successor_->node_ != view.self_ ||
+        range.owner_.node_ == view.self_) {
       continue;
     }
     const auto read = view.first_read_.find(KeyOf(range));
-    if (read != view.first_read_.end() && view.now_ - read->second > kTakeoverWait) {
+    const auto promised = view.promised_until_.find(range.owner_.node_);
+    const bool is_promised =
+        promised != view.promised_until_.end() && view.now_ <= promised->second;
+    if (read != view.first_read_.end() && view.now_ - read->second > kTakeoverWait &&
+        !is_promised) {
       spans.push_back({range.first_, range.last_});
+      owners.insert(range.owner_.node_);
     }
   }
   if (spans.empty()) {
     return std::nullopt;
   }
-  return IfChanged(table, CompleteMoves(table, spans), "the former owner's hold has ended");
+  Decision decision =
+      IfChanged(table, CompleteMoves(table, spans), "the former owner's hold has ended");
+  if (decision) {
+    decision->taken_from_.assign(owners.begin(), owners.end());
+  }
+  return decision;
 }
 
 bool IsLost(const OwnershipView& view, const Holder& holder) {
@@ -267,7 +299,7 @@
 
 bool IsIsolated(const OwnershipView& view) { return view.reachable_nodes_ * 2 < view.known_nodes_; }
 
-HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime confirmed,
+HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime base,
                              milliseconds longest) {
   HeartbeatAnswer answer;
   if (!view.own_.holder_ || view.own_.left_) {
@@ -278,7 +310,7 @@
   if (HasUnplannedSuccessor(table, holder) && !IsIsolated(view)) {
     return answer;
   }
-  answer.length_ = GrantLength(confirmed, view.now_, longest);
+  answer.length_ = GrantLength(base, view.now_, longest);
   if (answer.length_) {
     answer.ranges_ = RangesToGrant(table, holder);
   }
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -52,7 +52,14 @@
   BootTime now_{};
   BootTime started_{};  ///< When this process began to read the table.
   bool reaches_store_ = false;
+  /// When this process read back its registration; nothing before.
+  std::optional<BootTime> registered_;
   OwnUpstream own_;
+  /// Start of the newest incarnation beside this node, of any service, in Unix milliseconds. It
+  /// proves the end of all earlier ones.
+  std::int64_t newest_born_ms_ = 0;
+  /// Until when this node has promised to take nothing from another, by that node's address.
+  std::map<std::string, BootTime> promised_until_;
   std::vector<NodeView> nodes_;         ///< All known nodes of the service but this one.
   std::size_t known_nodes_ = 1;         ///< All nodes of the system, with this one.
   std::size_t reachable_nodes_ = 1;     ///< Those heard of within kSuspectAfter, with this one.
@@ -88,15 +95,17 @@
   KeyTable table_;
   std::string reason_;  ///< For the log.
   bool for_balance_ = false;
+  /// Nodes that lose ranges without having released them.
+  std::vector<std::string> taken_from_;
 };
 
 /// True when this node reaches less than half of all nodes: it can't judge others, and its own keys
 /// are of little use to callers elsewhere.
 bool IsIsolated(const OwnershipView& view);
 
-/// What the answer to a heartbeat of this node's upstream may grant. `confirmed` is when the table
-/// was last known to be the newest; `longest` is the upstream's bound on one grant.
-HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime confirmed,
+/// What the answer to a heartbeat of this node's upstream may grant. `base` is from GrantBase;
+/// `longest` is the upstream's bound on one grant.
+HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime base,
                              milliseconds longest);
 
 /// The change that this node has to write now, if any. One at a time: the next is decided on the
--- /dev/null
+++ b/Libraries/LibOwnership/takeover_promises.cc
@@ -0,0 +1,50 @@
+#include "LibOwnership/takeover_promises.h"
+
+#include <algorithm>
+
+#include "LibOwnership/hold_rules.h"
+
+namespace sassafrasbay {
+
+bool GivePromise(TakeoverPromises& promises, const std::string& owner_node, BootTime now) {
+  if (promises.withheld_.contains(owner_node)) {
+    return false;
+  }
+  promises.given_until_[owner_node] = GrantEnd(now, kTakeoverWait);
+  return true;
+}
+
+bool MayTakeOver(const TakeoverPromises& promises, const std::string& owner_node, BootTime now) {
+  const auto given = promises.given_until_.find(owner_node);
+  return given == promises.given_until_.end() || now > given->second;
+}
+
+bool Withhold(TakeoverPromises& promises, const std::string& owner_node, std::uint64_t offset,
+              BootTime now) {
+  if (!MayTakeOver(promises, owner_node, now)) {
+    return false;
+  }
+  promises.withheld_[owner_node] = offset;
+  return true;
+}
+
+void ResolveWithheld(TakeoverPromises& promises, std::uint64_t end) {
+  std::erase_if(promises.withheld_, [end](const auto& entry) { return entry.second < end; });
+}
+
+// A node that registered after `confirmed` isn't among the others. It completes nothing for
+// kNewNodeWait after its registration, so that the base may not be later than this allows.
+BootTime GrantBase(BootTime confirmed, const ReceivedPromises& received,
+                   std::span<const std::string> others) {
+  BootTime promised = confirmed + (kNewNodeWait - kTakeoverWait);
+  for (const std::string& node : others) {
+    const auto found = received.find(node);
+    if (found == received.end()) {
+      return confirmed;
+    }
+    promised = std::min(promised, found->second);
+  }
+  return std::max(confirmed, promised);
+}
+
+}  // namespace sassafrasbay
--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -40,6 +40,7 @@
     own.granted_until_ = granted_until;
     registry.last_grant_.clear();
     registry.granted_once_ = false;
+    registry.drains_since_.reset();
     news = HeartbeatNews::kNewIncarnation;
   }
   const bool draining = own.draining_ || heartbeat.draining_;
@@ -52,6 +53,9 @@
   }
   own.slots_ = std::max<std::uint32_t>(heartbeat.slots_, 1);
   own.draining_ = draining;
+  if ((draining || left) && !registry.drains_since_) {
+    registry.drains_since_ = now;
+  }
   own.left_ = left;
   own.gone_ = false;
   own.last_heartbeat_ = now;
@@ -69,12 +73,15 @@
   return news;
 }
 
-bool NoteLeave(UpstreamRegistry& registry, std::string_view instance) {
+bool NoteLeave(UpstreamRegistry& registry, std::string_view instance, BootTime now) {
   if (!registry.newest_ || registry.newest_->instance_ != instance) {
     registry.left_.emplace(instance);
     return false;
   }
   registry.own_.left_ = true;
+  if (!registry.drains_since_) {
+    registry.drains_since_ = now;
+  }
   return true;
 }
 
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -20,6 +20,7 @@
   std::set<std::string, std::less<>> left_;  ///< Incarnations that left before a heartbeat came.
   std::vector<HeldRange> last_grant_;        ///< Ranges of the last answer that granted any.
   bool granted_once_ = false;
+  std::optional<BootTime> drains_since_;  ///< When the current incarnation said that it leaves.
 };
 
 enum class HeartbeatNews : std::uint8_t {
@@ -33,7 +34,7 @@
 HeartbeatNews NoteHeartbeat(UpstreamRegistry& registry, UpstreamHeartbeat heartbeat, BootTime now);
 
 /// Notes that an incarnation leaves. False when it isn't the current one.
-bool NoteLeave(UpstreamRegistry& registry, std::string_view instance);
+bool NoteLeave(UpstreamRegistry& registry, std::string_view instance, BootTime now);
 
 /// Notes that the upstream's port refuses connections. It counts as gone only when its heartbeats
 /// are overdue too: an upstream with too many connections refuses as well.
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -94,6 +94,7 @@
   value["ub"] = message.upstream_.born_ms_;
   value["uk"] = message.upstream_.takes_keys_;
   value["lv"] = message.leaving_;
+  value["pr"] = message.promises_;
   return SerializeFrame(value);
 }
 
@@ -190,6 +191,7 @@
   Read(reader, "ub", message.upstream_.born_ms_);
   message.upstream_.takes_keys_ = TakeFlag(reader, "uk");
   message.leaving_ = TakeFlag(reader, "lv");
+  message.promises_ = TakeFlag(reader, "pr");
   return message;
 }
 
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -93,7 +93,8 @@
   std::uint64_t configuration_version_ = 0;
   GateLoad load_;
   UpstreamSummary upstream_;
-  bool leaving_ = false;  ///< The sender's process is about to end.
+  bool leaving_ = false;   ///< The sender's process is about to end.
+  bool promises_ = false;  ///< A promise to the receiver, see TakeoverPromises.
 };
 
 /// State for a node that has older one and may not reach the store.
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -36,6 +36,13 @@
 constexpr ReadPace kReaderPace{milliseconds(900), milliseconds(0)};
 constexpr ReadPace kOtherPace{milliseconds(0), milliseconds(5000)};
 
+/// Requests reach an upstream that drains for this much less than the operators' bound.
+constexpr milliseconds kDrainMargin{500};
+
+/// A node that hasn't been heard of for this long is removed from the list. Its promises aren't
+/// needed any more, and nobody connects to it.
+constexpr milliseconds kRemoveAfter{8000};
+
 /// What a report shows may be on its way from the writer.
 constexpr milliseconds kLagTolerated{60};
 
@@ -91,7 +98,7 @@
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
                     [this](BootTime asked) { OnTablesCurrent(asked); },
                     [this](bool reached) { shared_.reaches_store_ = reached; }}),
-      keeper_(store_, [this](const KeyedRecord& record) { OnWritten(record); }),
+      keeper_(store_, shared_.promises_, [this](const KeyedRecord& record) { OnWritten(record); }),
       life_(RandomId()) {
   registry_.self_ = shared_.self_;
 }
@@ -114,6 +121,7 @@
   fleet_topic_.Start();
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
     ChooseReaders();
+    RemoveLostNode();
     Decide();
     AnswerHeldBeats();
   });
@@ -187,7 +195,9 @@
 void ControlThread::OnFleetRecord(const KeyedRecord& record) {
   if (record.value_.empty()) {
     records_.erase(record.key_);
-    members_.erase(record.key_.substr(std::min(kNodePrefix.size(), record.key_.size())));
+    if (record.key_.starts_with(kNodePrefix)) {
+      OnNodeRemoved(record.key_.substr(kNodePrefix.size()));
+    }
     ScheduleUpdate();
     return;
   }
@@ -210,13 +220,25 @@
       return;
     }
     const std::string address = record.key_.substr(kNodePrefix.size());
-    registered_ = registered_ || (address == shared_.self_ && value["life"] == life_);
+    if (address == shared_.self_ && value["life"] == life_ && !registered_) {
+      registered_ = BootClock::now();
+    }
     members_[address] = {address, value["data_centre"].get<std::string>()};
   }
   records_[record.key_] = record.value_;
   ScheduleUpdate();
 }
 
+// Nodes that take this one for lost no longer ask for its promises, so it starts anew.
+void ControlThread::OnNodeRemoved(const std::string& address) {
+  members_.erase(address);
+  received_promises_.erase(address);
+  if (address == shared_.self_) {
+    registered_.reset();
+    registering_ = false;
+  }
+}
+
 // Appends that an earlier process of this node sent, and whose effect it never learnt, depend on
 // the end of the topic. The registration moves that end, so once it is read back none of them can
 // take effect any more.
@@ -264,6 +286,12 @@
                        static_cast<std::int64_t>(report.tables_age_ms_);
     ConfirmTables(BootTime(milliseconds(since)));
   }
+  // A sender that knows newer tables may have taken ranges already.
+  if (report.promises_ && report.echoed_clock_ms_ > 0 && report.tables_end_ <= fleet_topic_.End()) {
+    const BootTime since{milliseconds(static_cast<std::int64_t>(report.echoed_clock_ms_))};
+    BootTime& received = received_promises_[report.address_];
+    received = std::max(received, since);
+  }
   if (report.tables_end_ > fleet_topic_.End()) {
     ReadIfBehind(fleet_topic_,
                  [this, end = report.tables_end_] { return fleet_topic_.End() < end; });
@@ -314,7 +342,7 @@
 }
 
 void ControlThread::OnLeave(std::string_view instance) {
-  const bool current = NoteLeave(registry_, instance);
+  const bool current = NoteLeave(registry_, instance, BootClock::now());
   LogInfo(kPart, "upstream=" + std::string(instance) +
                      " leaves current=" + (current ? "true." : "false."));
   // Published before the acknowledgement leaves, so that no later request is sent.
@@ -381,15 +409,13 @@
 HeartbeatAnswer ControlThread::MakeAnswer() const {
   HeartbeatAnswer answer;
   const KeyTable* table = OwnTable();
-  if (table == nullptr || !registered_ || registry_.own_.left_) {
+  if (table == nullptr || registry_.own_.left_) {
     return answer;
   }
-  if (keeper_.MayLoseRanges(*registry_.own_.holder_, fleet_topic_.End())) {
-    return answer;
-  }
-  return DecideAnswer(*table, MakeView(table->service_),
-                      FromNanoseconds(shared_.tables_confirmed_ns_),
-                      shared_.environment_.longest_grant_);
+  const std::vector<std::string> others = OtherNodes();
+  const BootTime base =
+      GrantBase(FromNanoseconds(shared_.tables_confirmed_ns_), received_promises_, others);
+  return DecideAnswer(*table, MakeView(table->service_), base, shared_.environment_.longest_grant_);
 }
 
 void ControlThread::AnswerHeldBeats() {
@@ -416,12 +442,24 @@
   }
 }
 
+std::vector<std::string> ControlThread::OtherNodes() const {
+  std::vector<std::string> others;
+  for (const auto& [address, member] : members_) {
+    if (address != shared_.self_) {
+      others.push_back(address);
+    }
+  }
+  return others;
+}
+
 OwnershipView ControlThread::MakeView(const std::string& service) const {
   OwnershipView view;
   view.self_ = shared_.self_;
   view.now_ = BootClock::now();
   view.started_ = started_;
   const BootTime confirmed = FromNanoseconds(shared_.tables_confirmed_ns_);
+  view.registered_ = registered_;
+  view.newest_born_ms_ = registry_.newest_ ? registry_.newest_->born_ms_ : 0;
   view.reaches_store_ =
       registered_ && fleet_topic_.IsReached() && view.now_ - confirmed < kStoreFreshness;
   if (registry_.newest_ && registry_.newest_->service_ == service) {
@@ -475,6 +513,51 @@
   operator_topic_.SetPace(reads ? kReaderPace : kOtherPace);
 }
 
+// The reachable node with the lowest address removes those that are gone for good.
+void ControlThread::RemoveLostNode() {
+  const BootTime now = BootClock::now();
+  if (removing_ || !registered_ || !fleet_topic_.IsReached() || now - *registered_ < kRemoveAfter) {
+    return;
+  }
+  std::string lost;
+  std::size_t reachable = 1;
+  for (const auto& [address, member] : members_) {
+    if (address == shared_.self_) {
+      continue;
+    }
+    const auto peer = peers_.find(address);
+    const BootTime heard = peer == peers_.end() ? *registered_ : peer->second.received_;
+    if (now - heard < kSuspectAfter) {
+      ++reachable;
+      if (address < shared_.self_ && peer->second.report_.reaches_store_) {
+        return;
+      }
+    } else if (now - heard > kRemoveAfter && !OwnsKeys(address)) {
+      lost = address;
+    }
+  }
+  if (lost.empty() || reachable * 2 < members_.size()) {
+    return;
+  }
+  removing_ = true;
+  LogInfo(kPart, "node=" + lost + " is removed from the list; it hasn't been heard of.");
+  const KeyedRecord record{0, std::string(kNodePrefix) + lost, {}};
+  store_.Append(kFleetTopic, record, fleet_topic_.End(),
+                [this, record](const Result<std::uint64_t>& offset) {
+                  removing_ = false;
+                  if (offset) {
+                    OnWritten({offset.value(), record.key_, record.value_});
+                  }
+                });
+}
+
+bool ControlThread::OwnsKeys(const std::string& address) const {
+  return std::any_of(tables_.begin(), tables_.end(), [&](const auto& table) {
+    return std::any_of(table.second.ranges_.begin(), table.second.ranges_.end(),
+                       [&](const KeyRange& range) { return range.owner_.node_ == address; });
+  });
+}
+
 void ControlThread::Decide() {
   if (routes_ == nullptr || !registered_) {
     return;
@@ -508,6 +591,7 @@
   snapshot->configuration_text_ = configuration_text_;
   snapshot->tables_ = std::make_shared<const std::map<std::string, KeyTable>>(tables_);
   snapshot->tables_end_ = fleet_topic_.End();
+  snapshot->registered_ = registered_.has_value();
   snapshot->records_.assign(records_.begin(), records_.end());
   for (const auto& [address, member] : members_) {
     if (address != shared_.self_) {
@@ -522,6 +606,10 @@
     upstream->address_ = shared_.environment_.upstream_;
     upstream->slots_ = own.slots_;
     upstream->takes_requests_ = !own.draining_ && !own.left_ && !own.gone_;
+    upstream->drains_until_ =
+        registry_.drains_since_
+            ? *registry_.drains_since_ + shared_.environment_.drain_limit_ - kDrainMargin
+            : BootTime{};
     for (const HeldRange& range : registry_.last_grant_) {
       upstream->granted_.push_back(range.keys_);
     }
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,10 @@
   bool ShouldHold() const;
   const KeyTable* OwnTable() const;
   OwnershipView MakeView(const std::string& service) const;
+  std::vector<std::string> OtherNodes() const;
+  void OnNodeRemoved(const std::string& address);
+  void RemoveLostNode();
+  bool OwnsKeys(const std::string& address) const;
   void Decide();
   void ChooseReaders();
   void ReadIfBehind(TopicFollower& topic, std::function<bool()> is_behind);
@@ -73,8 +78,10 @@
   std::unique_ptr<HttpServer> heartbeats_;
   RouterTrafficCalls traffic_;
 
-  std::string life_;         ///< Random id of this process in its registration.
-  bool registered_ = false;  ///< The registration of this process has been read back.
+  std::string life_;                    ///< Random id of this process in its registration.
+  std::optional<BootTime> registered_;  ///< When the registration of this process was read back.
+  bool removing_ = false;
+  ReceivedPromises received_promises_;
   bool registering_ = false;
   BootTime started_{};
   std::shared_ptr<const RouteTable> routes_;
--- a/Services/sassafrasbay/router/ownership_keeper.cc
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -19,24 +19,27 @@
 
 }  // namespace
 
-OwnershipKeeper::OwnershipKeeper(RecordStore& store,
+OwnershipKeeper::OwnershipKeeper(RecordStore& store, SharedPromises& promises,
                                  std::function<void(const KeyedRecord&)> on_written)
-    : store_(store), on_written_(std::move(on_written)) {}
+    : store_(store), promises_(promises), on_written_(std::move(on_written)) {}
 
 void OwnershipKeeper::Decide(const KeyTable& table, std::uint64_t end, OwnershipView view) {
-  if (open_ && end > open_->at_) {
-    open_.reset();
-  }
   if (in_flight_ || view.now_ < pause_until_) {
     return;
   }
   view.first_read_ = first_read_;
   view.kept_ = kept_;
   view.last_balance_ = last_balance_;
+  view.promised_until_ = promises_.GivenUntil();
   auto change = DecideOwnershipChange(table, view);
   if (!change) {
     return;
   }
+  for (const std::string& owner : change->taken_from_) {
+    if (!promises_.Withhold(owner, end, view.now_)) {
+      return;  // The promise was given meanwhile; the next decision takes it into account.
+    }
+  }
   LogInfo(kPart, "service=" + table.service_ + " base_version=" + std::to_string(table.version_) +
                      " at=" + std::to_string(end) +
                      " nodes=" + std::to_string(view.reachable_nodes_) + "/" +
@@ -44,7 +47,6 @@
   if (change->for_balance_) {
     last_balance_ = view.now_;
   }
-  open_ = OpenWrite{end, table, change->table_};
   in_flight_ = true;
   decided_at_ = view.now_;
   const KeyedRecord record{0, std::string(kTablePrefix) + table.service_,
@@ -58,20 +60,14 @@
 void OwnershipKeeper::OnWritten(const std::string& reason, KeyedRecord record,
                                 Result<std::uint64_t> offset) {
   in_flight_ = false;
-  const BootTime now = decided_at_;
   if (offset) {
     record.offset_ = offset.value();
     on_written_(record);
     return;
   }
   const bool conflict = offset.error().code_ == make_error_code(Errc::kConflict);
-  const bool refused = offset.error().code_ == make_error_code(Errc::kUnavailable);
-  if (conflict || refused) {
-    open_.reset();
-  }
-  pause_until_ = now + (conflict ? kPauseAfterConflict : kPauseAfterFailure);
-  LogInfo(kPart, "change=\"" + reason + "\" not_written=\"" + ToString(offset.error()) +
-                     "\" may_take_effect=" + (open_ ? "true." : "false."));
+  pause_until_ = decided_at_ + (conflict ? kPauseAfterConflict : kPauseAfterFailure);
+  LogInfo(kPart, "change=\"" + reason + "\" not_written=\"" + ToString(offset.error()) + "\".");
 }
 
 void OwnershipKeeper::OnTable(const KeyTable& before, const KeyTable& after, BootTime now) {
@@ -87,11 +83,4 @@
   NoteChanges(after, now, first_read_);
 }
 
-bool OwnershipKeeper::MayLoseRanges(const Holder& holder, std::uint64_t end) const {
-  if (!open_ || end > open_->at_) {
-    return false;
-  }
-  return OwnedKeys(open_->after_, holder) < OwnedKeys(open_->before_, holder);
-}
-
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/ownership_keeper.h
+++ b/Services/sassafrasbay/router/ownership_keeper.h
@@ -8,6 +8,7 @@
 
 #include "LibControl/record_store.h"
 #include "LibOwnership/ownership_decision.h"
+#include "router/shared_promises.h"
 
 namespace sassafrasbay {
 
@@ -20,7 +21,8 @@
 class OwnershipKeeper {
  public:
   /// `on_written` gets each record that has been written.
-  OwnershipKeeper(RecordStore& store, std::function<void(const KeyedRecord&)> on_written);
+  OwnershipKeeper(RecordStore& store, SharedPromises& promises,
+                  std::function<void(const KeyedRecord&)> on_written);
   OwnershipKeeper(const OwnershipKeeper&) = delete;
   OwnershipKeeper& operator=(const OwnershipKeeper&) = delete;
 
@@ -31,25 +33,14 @@
   /// Notes the table before and after a record.
   void OnTable(const KeyTable& before, const KeyTable& after, BootTime now);
 
-  /// True while a write that takes ranges from the holder may still take effect. Nothing may be
-  /// granted to it meanwhile.
-  bool MayLoseRanges(const Holder& holder, std::uint64_t end) const;
-
  private:
-  /// A write whose effect isn't known until the topic has gone on beyond `at_`.
-  struct OpenWrite {
-    std::uint64_t at_ = 0;
-    KeyTable before_;
-    KeyTable after_;
-  };
-
   void OnWritten(const std::string& reason, KeyedRecord record, Result<std::uint64_t> offset);
 
   RecordStore& store_;
+  SharedPromises& promises_;
   std::function<void(const KeyedRecord&)> on_written_;
   std::map<ChangeKey, BootTime> first_read_;
   std::map<Holder, BootTime> kept_;  ///< When a node took back ranges that others thought lost.
-  std::optional<OpenWrite> open_;
   bool in_flight_ = false;
   BootTime decided_at_{};  ///< Of the newest write.
   BootTime pause_until_{};
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -15,6 +15,7 @@
 #include "LibRouting/node_messages.h"
 #include "LibRouting/route_table.h"
 #include "platform/node_environment.h"
+#include "router/shared_promises.h"
 
 namespace sassafrasbay {
 
@@ -33,6 +34,8 @@
   std::string address_;
   std::uint32_t slots_ = 1;
   bool takes_requests_ = false;  ///< Neither draining nor leaving.
+  /// Until when one that drains or leaves still takes requests for keys that nobody else holds.
+  BootTime drains_until_{};
   std::vector<KeySpan> granted_;
   BootTime granted_until_{};
 };
@@ -43,6 +46,7 @@
   std::string configuration_text_;
   std::shared_ptr<const std::map<std::string, KeyTable>> tables_;  ///< By service; never null.
   std::uint64_t tables_end_ = 0;
+  bool registered_ = false;  ///< The registration of this process has been read back.
   std::vector<std::pair<std::string, std::string>> records_;  ///< Newest records, for other nodes.
   std::vector<Member> members_;                               ///< All but this node.
   std::shared_ptr<const UpstreamState> upstream_;             ///< Null until its first heartbeat.
@@ -57,6 +61,7 @@
   /// never.
   std::atomic<std::int64_t> tables_confirmed_ns_{0};
   std::atomic<bool> reaches_store_{false};
+  SharedPromises promises_;
 };
 
 /// What the traffic thread learns from the report of another node.
--- /dev/null
+++ b/Services/sassafrasbay/router/shared_promises.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "LibOwnership/takeover_promises.h"
+
+namespace sassafrasbay {
+
+/// Promises that the traffic thread gives with its reports and the control thread keeps.
+/// Thread-safe.
+class SharedPromises {
+ public:
+  bool Give(const std::string& owner_node, BootTime now) {
+    const std::lock_guard lock(mutex_);
+    return GivePromise(promises_, owner_node, now);
+  }
+
+  std::map<std::string, BootTime> GivenUntil() const {
+    const std::lock_guard lock(mutex_);
+    return promises_.given_until_;
+  }
+
+  bool Withhold(const std::string& owner_node, std::uint64_t offset, BootTime now) {
+    const std::lock_guard lock(mutex_);
+    return sassafrasbay::Withhold(promises_, owner_node, offset, now);
+  }
+
+  void Resolve(std::uint64_t end) {
+    const std::lock_guard lock(mutex_);
+    ResolveWithheld(promises_, end);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  TakeoverPromises promises_;
+};
+
+}  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -18,6 +18,9 @@
 /// Interval of the reports on the demand for keys.
 constexpr milliseconds kDemandInterval{400};
 
+/// A node that was heard of within this time is promised that its keys aren't taken.
+constexpr milliseconds kPromiseHeard{1000};
+
 /// Nodes that get the reports on demand.
 constexpr std::size_t kPlanners = 2;
 
@@ -122,6 +125,8 @@
        snapshot_->upstream_->takes_requests_ != snapshot->upstream_->takes_requests_);
   const bool members_changed = snapshot_ == nullptr || snapshot_->members_ != snapshot->members_;
   snapshot_ = snapshot;
+  // Only now do reports state the end up to which the writes are known.
+  shared_.promises_.Resolve(snapshot->tables_end_);
   gate_.SetUpstream(snapshot->upstream_);
   router_.SetSnapshot(snapshot);
   // Others route by these at once instead of after the interval.
@@ -256,6 +261,10 @@
     if (heard != reports_.end() && now - heard->second.received_ > kSuspectAfter) {
       links_.Reset(member.address_);
     }
+    // A promise to a node that may be lost would only delay the takeover of its keys.
+    const bool lives = heard != reports_.end() && now - heard->second.received_ < kPromiseHeard;
+    report.promises_ =
+        lives && snapshot_->registered_ && shared_.promises_.Give(member.address_, now);
     links_.Send(member.address_, report);
   }
 }
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -91,7 +91,10 @@
 }
 
 RefusalReason UpstreamGate::Check(const ForwardedRequest& request) const {
-  if (!IsUsable()) {
+  // The keys of an upstream that drains are held by nobody else until they have moved.
+  const bool drains = request.shard_key_ && upstream_ != nullptr && !stopped_ &&
+                      BootClock::now() < upstream_->drains_until_;
+  if (!IsUsable() && !drains) {
     return RefusalReason::kNoUpstream;
   }
   if (upstream_->service_ != request.service_) {
--- a/Tests/LibOwnership/ownership_fixtures.h
+++ b/Tests/LibOwnership/ownership_fixtures.h
@@ -42,6 +42,7 @@
   view.self_ = "a";
   view.now_ = At(10'000);
   view.started_ = At(0);
+  view.registered_ = At(-60'000);
   view.reaches_store_ = true;
   view.own_.holder_ = HolderAt("a");
   view.own_.slots_ = 18;
--- a/Tests/LibOwnership/test_ownership_decision.cc
+++ b/Tests/LibOwnership/test_ownership_decision.cc
@@ -79,6 +79,42 @@
   BOOST_TEST(FirstRange(DecideOwnershipChange(table, view)).owner_.node_ == "a");
 }
 
+BOOST_AUTO_TEST_CASE(APromisedRangeIsNotTaken) {
+  OwnershipView view = CalmView();
+  KeyTable table = EvenTable({HolderAt("b"), HolderAt("c")});
+  table.ranges_[0].successor_ = HolderAt("a");
+  NoteChanges(table, At(0), view.first_read_);
+  view.promised_until_["b"] = At(10'100);
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_TEST((!change || change->taken_from_.empty()));
+  view.promised_until_["b"] = At(9'000);
+  const auto taken = DecideOwnershipChange(table, view);
+  BOOST_REQUIRE(taken.has_value());
+  BOOST_TEST(taken->taken_from_.size() == 1);
+}
+
+// Owners that don't know of a new node can't have its promise.
+BOOST_AUTO_TEST_CASE(ANewNodeTakesNothing) {
+  OwnershipView view = CalmView();
+  KeyTable table = EvenTable({HolderAt("b"), HolderAt("c")});
+  table.ranges_[0].successor_ = HolderAt("a");
+  NoteChanges(table, At(0), view.first_read_);
+  view.registered_ = view.now_ - kNewNodeWait + milliseconds(1);
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_TEST((!change || change->taken_from_.empty()));
+}
+
+// An upstream of another service at the same VM proves that the former one has ended.
+BOOST_AUTO_TEST_CASE(ALaterIncarnationOfAnotherServiceFreesTheKeys) {
+  OwnershipView view = CalmView();
+  view.own_ = OwnUpstream{};
+  view.newest_born_ms_ = HolderAt("a").born_ms_ + 1;
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b"), HolderAt("c")});
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(OwnedKeys(change->table_, HolderAt("a")) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AMovingRangeIsReleasedOnlyWhenItIsNotHeld) {
   OwnershipView view = CalmView();
   KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -105,7 +105,11 @@
   node.confirmed_ = {};
   node.registry_ = UpstreamRegistry{};
   node.registry_.self_ = node.address_;
-  node.keeper_ = std::make_unique<OwnershipKeeper>(store_, [](const KeyedRecord&) {});
+  node.promises_ = std::make_unique<SharedPromises>();
+  node.registered_.reset();
+  node.received_.clear();
+  node.keeper_ =
+      std::make_unique<OwnershipKeeper>(store_, *node.promises_, [](const KeyedRecord&) {});
 }
 
 std::string OwnershipModel::Run(milliseconds duration) {
@@ -200,12 +204,27 @@
   return up(left) && up(right);
 }
 
+// A report of `other` to `node` that echoes a clock of up to some hundred milliseconds ago.
+void OwnershipModel::Exchange(ModelNode& node, ModelNode& other) {
+  const BootTime echoed = now_ - Between(20, 400);
+  if (other.read_to_ == node.read_to_) {
+    node.confirmed_ = std::max(node.confirmed_, other.confirmed_ - (now_ - echoed));
+  }
+  const bool promises = other.registered_ && other.promises_->Give(node.address_, now_);
+  if (promises && other.read_to_ <= node.read_to_) {
+    BootTime& received = node.received_[other.address_];
+    received = std::max(received, echoed);
+  }
+}
+
 OwnershipView OwnershipModel::View(const ModelNode& node) const {
   OwnershipView view;
   view.self_ = node.address_;
   view.now_ = now_;
   view.started_ = node.started_;
   view.own_ = node.registry_.own_;
+  view.registered_ = node.registered_;
+  view.newest_born_ms_ = node.registry_.newest_ ? node.registry_.newest_->born_ms_ : 0;
   view.reaches_store_ = now_ >= node.no_store_until_ && !store_.is_down_ &&
                         now_ - node.confirmed_ < milliseconds(2000);
   view.known_nodes_ = nodes_.size();
@@ -234,6 +253,7 @@
     }
     // The former process's keeper may still be called by the store; it is leaked into the record of
     // pending calls by keeping it alive there.
+    static_cast<void>(node.promises_.release());  // NOLINT: see below
     static_cast<void>(
         node.keeper_.release());  // NOLINT: a call of the dead process may refer to it
     Restart(node);
@@ -242,11 +262,15 @@
     return;
   }
   ReadStore(node);
-  for (const ModelNode& other : nodes_) {
-    if (Reaches(node, other) && other.read_to_ == node.read_to_ && Chance(0.1)) {
-      node.confirmed_ = std::max(node.confirmed_, other.confirmed_ - milliseconds(20));
+  for (ModelNode& other : nodes_) {
+    if (&other != &node && Reaches(node, other) && Chance(0.1)) {
+      Exchange(node, other);
     }
   }
+  if (!node.registered_ && node.registered_at_ > 0 && node.read_to_ >= node.registered_at_) {
+    node.registered_ = now_;
+  }
+  node.promises_->Resolve(node.read_to_);
   if (now_ < node.next_decision_ || node.registered_at_ == 0 ||
       node.read_to_ < node.registered_at_) {
     return;
@@ -271,10 +295,14 @@
     return;
   }
   HeartbeatAnswer answer;
-  const bool registered = node.registered_at_ > 0 && node.read_to_ >= node.registered_at_;
-  if (registered && !node.keeper_->MayLoseRanges(*node.registry_.own_.holder_, node.read_to_)) {
-    answer = DecideAnswer(node.table_, View(node), node.confirmed_, milliseconds(10'000));
+  std::vector<std::string> others;
+  for (const ModelNode& other : nodes_) {
+    if (&other != &node) {
+      others.push_back(other.address_);
+    }
   }
+  answer = DecideAnswer(node.table_, View(node), GrantBase(node.confirmed_, node.received_, others),
+                        milliseconds(10'000));
   NoteGrant(node.registry_, answer, now_);
   node.answers_.push_back(
       {now_ + (Chance(0.1) ? Between(0, 900) : milliseconds(0)), now_, beat.born_ms_, answer});
--- a/Tests/Services/ownership_model.h
+++ b/Tests/Services/ownership_model.h
@@ -76,7 +76,10 @@
   BootTime confirmed_{};
   BootTime next_decision_{};
   UpstreamRegistry registry_;
+  std::unique_ptr<SharedPromises> promises_;
   std::unique_ptr<OwnershipKeeper> keeper_;
+  std::optional<BootTime> registered_;
+  ReceivedPromises received_;
   ModelUpstream upstream_;
   std::vector<ModelAnswer> answers_;
 };
@@ -99,6 +102,7 @@
   void StepNode(ModelNode& node);
   void StepUpstream(ModelNode& node);
   void ReadStore(ModelNode& node);
+  void Exchange(ModelNode& node, ModelNode& other);
   void Restart(ModelNode& node);
   void Beat(ModelNode& node);
   void Apply(ModelNode& node, const ModelAnswer& answer);
