--- a/Libraries/LibCore/logging.h
+++ b/Libraries/LibCore/logging.h
@@ -13,7 +13,7 @@
   int lines_per_second_ = 200;
 };
 
-/// Sets up easylogging++ to write to standard error. Call once, before other threads start.
+/// Sets up easylogging++ to write to standard output. Call once, before other threads start.
 void InitializeLogging(const LoggingOptions& options);
 
 /// Writes "<time> <level> [<part>] <message>". Thread-safe.
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::string_view kPart = "route";
+constexpr std::string_view kServedPart = "served";
+
+constexpr std::string_view kAnsweredOutcome = "answered";
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -327,7 +330,7 @@
         auto budget = budgets_.try_emplace(pending.service_, MakeBudget()).first;
         CountSuccess(budget->second);
       }
-      Finish(number, platform::MakeCallerResponse(std::move(answer.response_)), "answered");
+      Finish(number, platform::MakeCallerResponse(std::move(answer.response_)), kAnsweredOutcome);
       return;
     case GateOutcome::kRejected:
       pending.last_refusal_ = answer.reason_;
@@ -389,7 +392,7 @@
 void RequestRouter::Refuse(std::uint64_t number, std::string_view reason) {
   Pending& pending = pending_.at(number);
   if (pending.failure_) {
-    Finish(number, platform::MakeCallerResponse(std::move(*pending.failure_)), "answered");
+    Finish(number, platform::MakeCallerResponse(std::move(*pending.failure_)), kAnsweredOutcome);
     return;
   }
   if (pending.may_have_run_) {
@@ -436,6 +439,23 @@
   NoteEnd(pending, false);
 }
 
+void RequestRouter::LogEnd(const Pending& pending, int status, std::string_view outcome,
+                           double took_ms) const {
+  const bool late = BootClock::now() > pending.objective_;
+  const bool served = outcome == kAnsweredOutcome && status < kFirstServerError;
+  const std::string key =
+      pending.sharded_ ? std::to_string(*pending.request_.shard_key_) : std::string("-");
+  // Two parts, so that the bound on lines of the many served requests doesn't drop the others.
+  LogInfo(served && !late ? kServedPart : kPart,
+          "request=" + pending.request_.request_id_ + " route=" + pending.request_.class_ +
+              " service=" + pending.service_ + " key=" + key + " node=" + pending.node_ + " sent=" +
+              std::to_string(pending.sent_) + " refusals=" + std::to_string(pending.refusals_) +
+              " configuration=" + std::to_string(pending.routes_->version_) +
+              " tables_end=" + std::to_string(snapshot_->tables_end_) + " ms=" +
+              std::to_string(static_cast<int>(took_ms)) + " late=" + (late ? "true" : "false") +
+              " status=" + std::to_string(status) + " outcome=" + std::string(outcome) + ".");
+}
+
 void RequestRouter::Finish(std::uint64_t number, HttpResponse response, std::string_view outcome) {
   const auto found = pending_.find(number);
   Pending pending = std::move(found->second);
@@ -447,16 +467,7 @@
   const std::string labels = "outcome=\"" + std::string(outcome) + "\"";
   shared_.metrics_.Count("sassafrasbay_requests_total", labels);
   shared_.metrics_.Observe("sassafrasbay_request_ms", labels, took);
-  if (outcome != "answered" || response.status_ >= kFirstServerError) {
-    LogInfo(kPart, "request=" + pending.request_.request_id_ + " route=" + pending.request_.class_ +
-                       " service=" + pending.service_ + " key=" +
-                       (pending.sharded_ ? std::to_string(*pending.request_.shard_key_) : "-") +
-                       " node=" + pending.node_ + " sent=" + std::to_string(pending.sent_) +
-                       " refusals=" + std::to_string(pending.refusals_) +
-                       " configuration=" + std::to_string(pending.routes_->version_) +
-                       " ms=" + std::to_string(static_cast<int>(took)) + " status=" +
-                       std::to_string(response.status_) + " outcome=" + std::string(outcome) + ".");
-  }
+  LogEnd(pending, response.status_, outcome, took);
   if (leaving_) {
     response.headers_.emplace_back("Connection", "close");
   }
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -92,6 +92,7 @@
   void Withdraw(std::uint64_t number, Pending& pending);
   void NoteEnd(Pending& pending, bool failed);
   void Refuse(std::uint64_t number, std::string_view reason);
+  void LogEnd(const Pending& pending, int status, std::string_view outcome, double took_ms) const;
   void Finish(std::uint64_t number, HttpResponse response, std::string_view outcome);
   double Sample();
 
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -245,6 +245,17 @@
   }
   OpenRequest open = std::move(found->second);
   open_.erase(found);
+  const BootTime now = BootClock::now();
+  LogInfo(
+      kPart,
+      "request=" + open.request_.request_id_ + " refused=" + std::string(ToString(reason)) +
+          " upstream=" + (upstream_ == nullptr ? std::string("-") : upstream_->holder_.instance_) +
+          " slots=" + std::to_string(queue_.slots_) + " running=" +
+          std::to_string(queue_.running_) + " waiting=" + std::to_string(queue_.waiting_.size()) +
+          " waited_ms=" + std::to_string(Since(open.received_, now).count()) +
+          " left_ms=" + std::to_string(Since(now, open.deadline_).count()) + " grant_left_ms=" +
+          std::to_string(upstream_ == nullptr ? 0 : Since(now, upstream_->granted_until_).count()) +
+          ".");
   ForwardedAnswer answer;
   answer.outcome_ = GateOutcome::kRefused;
   answer.reason_ = reason;
--- a/Tests/LibCore/test_logging.cc
+++ b/Tests/LibCore/test_logging.cc
@@ -15,13 +15,13 @@
 namespace sassafrasbay {
 namespace {
 
-/// Collects what is written to std::cerr during its lifetime.
-class CapturedErrorStream {
+/// Collects what is written to std::cout during its lifetime.
+class CapturedOutput {
  public:
-  CapturedErrorStream() : previous_(std::cerr.rdbuf(stream_.rdbuf())) {}
-  ~CapturedErrorStream() { std::cerr.rdbuf(previous_); }
-  CapturedErrorStream(const CapturedErrorStream&) = delete;
-  CapturedErrorStream& operator=(const CapturedErrorStream&) = delete;
+  CapturedOutput() : previous_(std::cout.rdbuf(stream_.rdbuf())) {}
+  ~CapturedOutput() { std::cout.rdbuf(previous_); }
+  CapturedOutput(const CapturedOutput&) = delete;
+  CapturedOutput& operator=(const CapturedOutput&) = delete;
 
   std::vector<std::string> Lines() const {
     std::istringstream text(stream_.str());
@@ -44,7 +44,7 @@
 // Guards against a change of the line format, which operators' tools parse.
 BOOST_AUTO_TEST_CASE(LineHasTimeLevelPartAndMessage) {
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
-  const CapturedErrorStream captured;
+  const CapturedOutput captured;
   LogWarning("lease", "lease of 100% ended %msg %level");
   Log(LogLevel::kDebug, "lease", "below the level");
   const auto lines = captured.Lines();
@@ -57,7 +57,7 @@
 // Guards against data from a caller forging a log line.
 BOOST_AUTO_TEST_CASE(LineBreaksAreEscaped) {
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
-  const CapturedErrorStream captured;
+  const CapturedOutput captured;
   LogInfo("http", "path /a\r\nINFO [lease] forged");
   const auto lines = captured.Lines();
   BOOST_REQUIRE(lines.size() == 1U);
@@ -90,7 +90,7 @@
 // Guards against the summary being computed but never written.
 BOOST_AUTO_TEST_CASE(SummaryLineSaysHowManyLinesWereSuppressed) {
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 0});
-  const CapturedErrorStream captured;
+  const CapturedOutput captured;
   LogInfo("placement", "suppressed");
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 1000});
   std::this_thread::sleep_for(std::chrono::milliseconds(1001));
@@ -106,7 +106,7 @@
 // Guards against lines that are mixed up or lost when both threads of a node log.
 BOOST_AUTO_TEST_CASE(ConcurrentLinesStayWhole) {
   InitializeLogging({.level_ = LogLevel::kInfo, .lines_per_second_ = 100000});
-  const CapturedErrorStream captured;
+  const CapturedOutput captured;
   std::vector<std::thread> threads;
   threads.reserve(4);
   for (int thread = 0; thread < 4; ++thread) {
