--- a/Libraries/LibOwnership/balance_plan.cc
+++ b/Libraries/LibOwnership/balance_plan.cc
@@ -10,6 +10,10 @@
 /// wait, and a moved key is unserved for about a tenth of a second.
 constexpr double kBusy = 0.55;
 
+/// Use above which an upstream has no room for more. When all are that busy, moves only make keys
+/// unserved for a while.
+constexpr double kSaturated = 0.95;
+
 /// Least difference in use that is worth a move.
 constexpr double kWorthwhileDifference = 0.15;
 
@@ -63,7 +67,8 @@
   };
   while (moves.size() < kMostMoves) {
     const auto [least, most] = std::minmax_element(uses.begin(), uses.end(), less);
-    if (ShareOf(*most) < kBusy || ShareOf(*most) - ShareOf(*least) < kWorthwhileDifference) {
+    if (ShareOf(*most) < kBusy || ShareOf(*least) > kSaturated ||
+        ShareOf(*most) - ShareOf(*least) < kWorthwhileDifference) {
       break;
     }
     KeyDemand* piece = BestPiece(*most, *least);
--- a/Libraries/LibRouting/slot_queue.cc
+++ b/Libraries/LibRouting/slot_queue.cc
@@ -14,6 +14,11 @@
 /// 507 ms with an objective of 300 ms.
 constexpr double kWaitShare = 0.3;
 
+/// It is less when the service itself needs most of that time, with this factor for requests that
+/// take longer than the mean, but not less than the share below, which costs the caller little.
+constexpr double kServiceMargin = 1.1;
+constexpr double kLeastWaitShare = 0.08;
+
 /// The same for a request whose objective has passed, as a share of the time to the deadline.
 constexpr double kLateWaitShare = 0.1;
 
@@ -45,14 +50,17 @@
 }
 
 /// Longest wait that leaves the request enough of its time.
-double LongestWait(const SlotRequest& request, BootTime now) {
+double LongestWait(const SlotQueue& queue, const SlotRequest& request, BootTime now) {
   const double left = MillisecondsUntil(request.deadline_, now);
   const double to_objective = std::max(0.0, MillisecondsUntil(request.objective_, now));
-  return std::max(kWaitShare * to_objective, kLateWaitShare * left);
+  const double in_time = to_objective - kServiceMargin * ServiceTime(queue, request.class_);
+  const double share =
+      std::clamp(in_time / std::max(to_objective, 1.0), kLeastWaitShare, kWaitShare);
+  return std::max(share * to_objective, kLateWaitShare * left);
 }
 
 bool MayWait(const SlotQueue& queue, const SlotRequest& request, double wait_ms, BootTime now) {
-  return wait_ms <= LongestWait(request, now) &&
+  return wait_ms <= LongestWait(queue, request, now) &&
          wait_ms + ServiceTime(queue, request.class_) < MillisecondsUntil(request.deadline_, now);
 }
 
@@ -86,7 +94,8 @@
     return verdict;
   }
   SlotRequest waiting = request;
-  waiting.wait_end_ = now + milliseconds(std::llround(kWaitTolerance * LongestWait(request, now)));
+  waiting.wait_end_ =
+      now + milliseconds(std::llround(kWaitTolerance * LongestWait(queue, request, now)));
   queue.waiting_.insert(position, waiting);
   verdict.decision_ = SlotDecision::kWait;
   // Those behind the new request wait one turn longer, which may be too long for the last of them.
--- a/Tests/LibOwnership/test_balance_plan.cc
+++ b/Tests/LibOwnership/test_balance_plan.cc
@@ -68,6 +68,14 @@
   BOOST_TEST(PlanBalance(upstreams).empty());
 }
 
+// Pattern: more requests than all upstreams together can serve.
+BOOST_AUTO_TEST_CASE(NothingMovesWhileAllAreSaturated) {
+  const std::vector<UpstreamDemand> upstreams = {
+      Demand("a", 100, 0, std::vector<double>(16, 12.0)),
+      Demand("b", 100, 1000, std::vector<double>(16, 6.5))};
+  BOOST_TEST(PlanBalance(upstreams).empty());
+}
+
 // One key can't be divided; moving it back and forth would only make it unserved.
 BOOST_AUTO_TEST_CASE(ASingleHotKeyStaysWhereItIs) {
   const std::vector<UpstreamDemand> upstreams = {Demand("a", 100, 0, {150.0}),
