--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace sassafrasbay {
@@ -100,7 +101,11 @@
   HttpResponse response;
   response.status_ = static_cast<int>(message.result_int());
   for (const auto& field : message) {
-    response.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    const auto name = field.name_string();
+    const auto value = field.value();
+    response.headers_.emplace_back(std::piecewise_construct,
+                                   std::forward_as_tuple(name.data(), name.size()),
+                                   std::forward_as_tuple(value.data(), value.size()));
   }
   response.body_ = std::move(message.body());
   return response;
--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -174,7 +174,7 @@
 ConnectionPointer UpstreamClient::Impl::TakeIdle() {
   const BootTime now = BootClock::now();
   while (!idle_.empty()) {
-    const ConnectionPointer connection = idle_.back();
+    ConnectionPointer connection = idle_.back();
     idle_.pop_back();
     // Bytes or an end that have arrived meanwhile make the connection useless.
     char byte = 0;
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -68,7 +68,12 @@
 
 RequestRouter::RequestRouter(ReactorLoop& loop, RouterShared& shared, PeerLinks& links,
                              UpstreamGate& gate)
-    : loop_(loop), shared_(shared), links_(links), gate_(gate), random_(HashBytes(RandomId())) {}
+    : loop_(loop),
+      shared_(shared),
+      links_(links),
+      gate_(gate),
+      random_(HashBytes(RandomId())),
+      caller_service_(shared.environment_.service_) {}
 
 double RequestRouter::Sample() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
@@ -115,7 +120,7 @@
     refusal = platform::MakeOwnAnswer(kUnavailable, "no configuration yet", kNoOwnerRetryAfter);
     return MakeError(Errc::kUnavailable, kStep, {}, "no configuration yet");
   }
-  auto read = platform::ReadCallerRequest(exchange->Request(), shared_.environment_.service_);
+  auto read = platform::ReadCallerRequest(exchange->Request(), caller_service_);
   if (!read) {
     refusal = platform::MakeOwnAnswer(kBadRequest, ToString(read.error()), std::nullopt);
     return read.error();
@@ -148,8 +153,8 @@
   forwarded.rank_ = route.rank_;
   forwarded.idempotent_ = route.kind_ == RequestKind::kIdempotent;
   forwarded.request_ = std::move(request.request_);
-  const std::array<std::string_view, 3> parts = {
-      forwarded.request_.path_, shared_.environment_.service_, forwarded.request_.body_};
+  const std::array<std::string_view, 3> parts = {forwarded.request_.path_, caller_service_,
+                                                 forwarded.request_.body_};
   forwarded.fingerprint_ = HashParts(parts);
   return pending;
 }
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "LibRouting/node_messages.h"
@@ -31,6 +32,8 @@
 
   void SetSnapshot(const std::shared_ptr<const RouterSnapshot>& snapshot);
   void SetReport(const PeerFacts& facts);
+  /// The service that callers on this VM belong to.
+  void SetCallerService(std::string service) { caller_service_ = std::move(service); }
   /// Answers close their connections from now on.
   void SetLeaving() { leaving_ = true; }
 
@@ -106,6 +109,7 @@
   std::map<std::string, RetryBudget> budgets_;  ///< By service.
   std::uint64_t last_number_ = 0;
   std::mt19937_64 random_;
+  std::string caller_service_;
   bool leaving_ = false;
 };
 
--- a/Services/sassafrasbay/router/router_node.cc
+++ b/Services/sassafrasbay/router/router_node.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <ctime>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr std::string_view kPart = "node";
 constexpr timespec kSignalPoll{0, 100'000'000};
 
+constexpr milliseconds kReloadInterval{1000};
+
 /// Kept back from the grace period for the end of the process itself.
 constexpr milliseconds kExitMargin{500};
 
@@ -31,9 +34,29 @@
   return signals;
 }
 
+/// Takes what may change while the process runs: the service of this VM. Addresses hold until the
+/// process is started again.
+void Reload(const std::function<Result<platform::NodeEnvironment>()>& reload, bool signalled,
+            std::string& service, TrafficThread& traffic) {
+  const Result<platform::NodeEnvironment> settings = reload();
+  if (!settings) {
+    LogWarning(kPart, "reload failed reason=\"" + ToString(settings.error()) +
+                          "\"; the settings read before hold.");
+    return;
+  }
+  if (signalled || settings.value().service_ != service) {
+    LogInfo(kPart, "reload service=" + settings.value().service_ + " before=" + service + ".");
+  }
+  if (settings.value().service_ != service) {
+    service = settings.value().service_;
+    traffic.SetCallerService(service);
+  }
+}
+
 }  // namespace
 
-Result<void> RunRouterNode(platform::NodeEnvironment environment) {
+Result<void> RunRouterNode(platform::NodeEnvironment environment,
+                           const std::function<Result<platform::NodeEnvironment>()>& reload) {
   // Blocked before any thread starts, so that only this thread receives them.
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -55,8 +78,14 @@
 
   std::atomic<bool> drained = false;
   bool leaving = false;
+  std::string service = shared.environment_.service_;
+  BootTime reloaded = BootClock::now();
   while (!drained) {
     const int signal = sigtimedwait(&signals, nullptr, &kSignalPoll);
+    if (signal == SIGHUP || BootClock::now() - reloaded > kReloadInterval) {
+      reloaded = BootClock::now();
+      Reload(reload, signal == SIGHUP, service, traffic);
+    }
     if ((signal == SIGTERM || signal == SIGINT) && !leaving) {
       leaving = true;
       LogInfo(kPart, "stop signal=" + std::to_string(signal) + ".");
--- a/Services/sassafrasbay/router/router_node.h
+++ b/Services/sassafrasbay/router/router_node.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "LibCore/error.h"
 #include "platform/node_environment.h"
 
@@ -7,6 +9,10 @@
 
 /// Runs a node on the platform until SIGTERM or SIGINT and the drain that follows. Errors: those of
 /// the listening sockets.
-Result<void> RunRouterNode(platform::NodeEnvironment environment);
+///
+/// `reload` reads the settings again; it is called at SIGHUP and once a second, since the settings
+/// may change without a signal.
+Result<void> RunRouterNode(platform::NodeEnvironment environment,
+                           const std::function<Result<platform::NodeEnvironment>()>& reload);
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -293,6 +293,10 @@
   }
 }
 
+void TrafficThread::SetCallerService(const std::string& service) {
+  loop_.Post([this, service] { router_.SetCallerService(service); });
+}
+
 void TrafficThread::Leave(milliseconds limit, std::function<void()> done) {
   loop_.Post([this, limit, done = std::move(done)] {
     leaving_ = true;
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -32,6 +32,9 @@
   /// after `limit`. Thread-safe.
   void Leave(milliseconds limit, std::function<void()> done);
 
+  /// The service that requests of this VM come from. Thread-safe.
+  void SetCallerService(const std::string& service);
+
   void Run() { loop_.Run(); }
   void Stop() { loop_.Stop(); }
 
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 UpstreamGate::UpstreamGate(ReactorLoop& loop, RouterShared& shared)
-    : loop_(loop), shared_(shared), client_(loop) {}
+    : shared_(shared), client_(loop) {}
 
 void UpstreamGate::SetUpstream(const std::shared_ptr<const UpstreamState>& upstream) {
   if (upstream == nullptr) {
@@ -172,7 +172,7 @@
   if (found == open_.end()) {
     return;
   }
-  OpenRequest open = std::move(found->second);
+  const OpenRequest open = std::move(found->second);
   open_.erase(found);
   const milliseconds service = Since(open.started_, BootClock::now());
   ForwardedAnswer answer;
@@ -193,7 +193,7 @@
   }
   success_share_ += kSuccessWeight * ((sample ? 1.0 : 0.0) - success_share_);
   FreeSlot(queue_, open.request_.class_, sample);
-  Answer(std::move(open), std::move(answer));
+  Answer(open, std::move(answer));
   RunWaiting();
 }
 
@@ -243,7 +243,7 @@
   if (found == open_.end()) {
     return;
   }
-  OpenRequest open = std::move(found->second);
+  const OpenRequest open = std::move(found->second);
   open_.erase(found);
   const BootTime now = BootClock::now();
   LogInfo(
@@ -260,10 +260,10 @@
   answer.outcome_ = GateOutcome::kRefused;
   answer.reason_ = reason;
   answer.retry_after_ms_ = static_cast<std::uint32_t>(retry_after.count());
-  Answer(std::move(open), std::move(answer));
+  Answer(open, std::move(answer));
 }
 
-void UpstreamGate::Answer(OpenRequest open, ForwardedAnswer answer) {
+void UpstreamGate::Answer(const OpenRequest& open, ForwardedAnswer answer) {
   answer.number_ = open.request_.number_;
   answer.load_ = Load();
   open.handler_(std::move(answer));
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -71,11 +71,10 @@
   void OnResult(Number number, UpstreamResult result);
   void OnLost(const OpenRequest& open, const UpstreamResult& result);
   void Refuse(Number number, RefusalReason reason, milliseconds retry_after);
-  void Answer(OpenRequest open, ForwardedAnswer answer);
+  void Answer(const OpenRequest& open, ForwardedAnswer answer);
   void RunWaiting();
   void ConfirmCrash(std::string_view evidence);
 
-  ReactorLoop& loop_;
   RouterShared& shared_;
   Hooks hooks_;
   UpstreamClient client_;
--- a/Services/sassafrasbay/sidecar_command.cc
+++ b/Services/sassafrasbay/sidecar_command.cc
@@ -28,17 +28,20 @@
     std::cerr << "sassafrasbay sidecar: " << platform::kSettingsVariable << " is not set\n";
     return ExitCode::kUsage;
   }
-  std::string text;
-  if (!ReadFile("sidecar", path, text)) {
-    return ExitCode::kInvalidFile;
-  }
-  auto environment = platform::DecodeNodeEnvironment(path, text);
+  const auto load = [path]() -> Result<platform::NodeEnvironment> {
+    std::string text;
+    if (!ReadFile("sidecar", path, text)) {
+      return MakeError(Errc::kUnavailable, "read settings", path, "the file can't be read");
+    }
+    return platform::DecodeNodeEnvironment(path, text);
+  };
+  Result<platform::NodeEnvironment> environment = load();
   if (!environment) {
     std::cerr << "sassafrasbay sidecar: " << ToString(environment.error()) << "\n";
     return ExitCode::kInvalidFile;
   }
   InitializeLogging({});
-  if (auto ran = RunRouterNode(std::move(environment.value())); !ran) {
+  if (auto ran = RunRouterNode(std::move(environment.value()), load); !ran) {
     std::cerr << "sassafrasbay sidecar: " << ToString(ran.error()) << "\n";
     return ExitCode::kFailure;
   }
--- a/Tests/LibOwnership/test_balance_plan.cc
+++ b/Tests/LibOwnership/test_balance_plan.cc
@@ -6,7 +6,7 @@
 namespace {
 
 UpstreamDemand Demand(const std::string& node, double capacity, ShardKey first,
-                      std::vector<double> rates) {
+                      const std::vector<double>& rates) {
   UpstreamDemand demand{HolderAt(node), capacity, {}};
   for (const double rate : rates) {
     demand.pieces_.push_back({{first, first + 9}, rate});
--- a/Tests/LibOwnership/test_table_changes.cc
+++ b/Tests/LibOwnership/test_table_changes.cc
@@ -7,6 +7,7 @@
 
 std::vector<Candidate> Equal(const std::vector<std::string>& nodes) {
   std::vector<Candidate> candidates;
+  candidates.reserve(nodes.size());
   for (const std::string& node : nodes) {
     candidates.push_back({HolderAt(node), 18});
   }
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -168,7 +168,7 @@
        {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
         "HTTP/1.1 200 OK\r\nId: 1\r\n", "HTTP/1.1 2", "no answer at all\r\n\r\n"}) {
-    upstream_.answer_ = [&](int, const std::string&) { return bytes; };
+    upstream_.answer_ = [&](int, const std::string&) { return std::optional(bytes); };
     const UpstreamResult result = Call("GET", "1");
     BOOST_TEST(!result.response_.has_value(), bytes);
     BOOST_TEST(result.maybe_sent_);
@@ -234,7 +234,7 @@
   ResponseReader reader(1000);
   std::size_t used = 0;
   while (!reader.IsComplete()) {
-    const Result<std::size_t> taken = reader.Receive(std::string_view(text).substr(used, 1));
+    const Result<std::size_t> taken = reader.Receive(text.substr(used, 1));
     BOOST_REQUIRE(taken.has_value());
     used += taken.value();
   }
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -23,7 +23,7 @@
 void ModelStore::Append(std::string_view, const KeyedRecord& record,
                         std::optional<std::uint64_t> at,
                         std::function<void(Result<std::uint64_t>)> callback) {
-  const auto answer = [this, callback](milliseconds delay, Result<std::uint64_t> result) {
+  const auto answer = [this, callback](milliseconds delay, const Result<std::uint64_t>& result) {
     events_.push_back({now_ + delay, [callback, result] { callback(result); }});
   };
   const Error lost = MakeError(Errc::kTimedOut, "append record", "store", {});
