--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -164,6 +164,14 @@
   return peer != peers_.end() && BootClock::now() - peer->second.facts_.received_ < kSuspectAfter;
 }
 
+// A node that leaves and takes nothing any more ends within milliseconds; what is sent to it could be
+// lost without a trace of whether it ran.
+bool RequestRouter::IsEnding(const std::string& node) const {
+  const auto peer = peers_.find(node);
+  return peer != peers_.end() && peer->second.facts_.report_.leaving_ &&
+         peer->second.facts_.report_.load_.slots_ == 0;
+}
+
 std::string RequestRouter::FindOwnerNode(const Pending& pending) const {
   const auto table = snapshot_->tables_->find(pending.service_);
   if (table == snapshot_->tables_->end()) {
@@ -214,6 +222,10 @@
       Refuse(number, node.empty() ? "no-owner" : "owner-unreachable");
       return;
     }
+    if (IsEnding(node)) {
+      Refuse(number, "owner-ending");
+      return;
+    }
     SendTo(number, node);
     return;
   }
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -85,6 +85,7 @@
   std::string FindOwnerNode(const Pending& pending) const;
   std::vector<UpstreamOption> Options(const Pending& pending) const;
   bool IsAlive(const std::string& node) const;
+  bool IsEnding(const std::string& node) const;
   void SendTo(std::uint64_t number, const std::string& node);
   void Decide(std::uint64_t number, ForwardedAnswer answer);
   void OnRefused(std::uint64_t number, const ForwardedAnswer& answer);
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -315,6 +315,8 @@
   if (now > earliest) {
     callers_->StopAccepting();
     gate_.StopTaking();
+    // Others send nothing more, so that no request crosses the end of this process.
+    SendReports();
   }
   const bool idle = router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0;
   if (now > latest || (now > earliest && idle)) {
