--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -147,13 +147,30 @@
   return IfChanged(table, KeepRanges(table, *view.own_.holder_), "this node is not lost");
 }
 
+/// Names another successor instead of `former`. That is another change, with a wait of its own.
+KeyTable ChangeSuccessor(KeyTable table, const Holder& former, const Holder& successor) {
+  for (KeyRange& range : table.ranges_) {
+    if (range.successor_ == former) {
+      range.successor_ = successor;
+    }
+  }
+  return table;
+}
+
+/// Moves its keys away, and those that are on their way to it to another upstream.
 Decision EmptyDrainingUpstream(const KeyTable& table, const OwnershipView& view) {
-  if (!view.own_.holder_ || !view.own_.draining_ || view.own_.left_) {
+  if (!view.own_.holder_ || !(view.own_.draining_ || view.own_.left_)) {
     return std::nullopt;
   }
+  const Holder& own = *view.own_.holder_;
   const std::vector<Candidate> candidates = Candidates(view, false);
-  return IfChanged(table, NameSuccessors(table, *view.own_.holder_, candidates, true),
-                   "upstream is draining");
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  KeyTable next = view.own_.left_ ? table : NameSuccessors(table, own, candidates, true);
+  next = ChangeSuccessor(std::move(next), own, candidates.front().holder_);
+  next.version_ = table.version_ + 1;
+  return IfChanged(table, std::move(next), "upstream is draining");
 }
 
 /// The successor's node makes it the owner once the former owner's hold has certainly ended.
@@ -213,15 +230,9 @@
                        "node " + range.owner_.node_ + " is not reachable");
     }
     if (range.successor_ && IsLost(view, *range.successor_) && !candidates.empty()) {
-      // Another successor starts a new wait, since it is another change.
-      KeyTable next = table;
-      ++next.version_;
       const Holder lost = *range.successor_;
-      for (KeyRange& other : next.ranges_) {
-        if (other.successor_ == lost) {
-          other.successor_ = candidates.front().holder_;
-        }
-      }
+      KeyTable next = ChangeSuccessor(table, lost, candidates.front().holder_);
+      ++next.version_;
       return IfChanged(table, std::move(next), "node " + lost.node_ + " is not reachable");
     }
   }
@@ -299,6 +310,21 @@
 
 bool IsIsolated(const OwnershipView& view) { return view.reachable_nodes_ * 2 < view.known_nodes_; }
 
+bool ExpectsRanges(const KeyTable& table, const OwnershipView& view) {
+  if (!CanTakeKeys(view.own_)) {
+    return false;
+  }
+  const Holder& own = *view.own_.holder_;
+  // Keys of an earlier incarnation here, or of nobody, are assigned within some milliseconds.
+  return !UnownedKeys(table).empty() ||
+         std::any_of(table.ranges_.begin(), table.ranges_.end(), [&](const KeyRange& range) {
+           const bool arrives = range.successor_ == own && range.planned_;
+           const bool disputed = range.successor_ && !range.planned_ && range.owner_ == own;
+           const bool inherited = range.owner_.node_ == view.self_ && range.owner_ != own;
+           return arrives || disputed || inherited;
+         });
+}
+
 HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime base,
                              milliseconds longest) {
   HeartbeatAnswer answer;
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -108,6 +108,10 @@
 HeartbeatAnswer DecideAnswer(const KeyTable& table, const OwnershipView& view, BootTime base,
                              milliseconds longest);
 
+/// Whether ranges of the own upstream are about to change in its favour, so that an answer to its
+/// heartbeat that waits a little spares it the time until the next one.
+bool ExpectsRanges(const KeyTable& table, const OwnershipView& view);
+
 /// The change that this node has to write now, if any. One at a time: the next is decided on the
 /// table that results.
 std::optional<OwnershipChange> DecideOwnershipChange(const KeyTable& table,
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -36,6 +36,9 @@
 constexpr ReadPace kReaderPace{milliseconds(900), milliseconds(0)};
 constexpr ReadPace kOtherPace{milliseconds(0), milliseconds(5000)};
 
+/// Time after the start for which the answer to a heartbeat waits for the tables.
+constexpr milliseconds kStartHold{3000};
+
 /// Requests reach an upstream that drains for this much less than the operators' bound.
 constexpr milliseconds kDrainMargin{500};
 
@@ -407,20 +410,21 @@
   return table == tables_.end() ? nullptr : &table->second;
 }
 
-// Waiting pays when the ranges are about to change in the upstream's favour.
 bool ControlThread::ShouldHold() const {
-  const KeyTable* table = OwnTable();
-  if (table == nullptr || !registry_.own_.holder_ || registry_.own_.left_) {
+  if (!registry_.newest_ || (routes_ != nullptr && !IsSharded(registry_.newest_->service_))) {
     return false;
   }
-  return std::any_of(table->ranges_.begin(), table->ranges_.end(), [&](const KeyRange& range) {
-    if (!range.successor_) {
-      return false;
-    }
-    const bool arrives = range.planned_ && *range.successor_ == *registry_.own_.holder_;
-    const bool disputed = !range.planned_ && range.owner_ == *registry_.own_.holder_;
-    return arrives || disputed;
-  });
+  // A process that has just started learns within some milliseconds whom the keys belong to.
+  if (!registered_ || routes_ == nullptr) {
+    return BootClock::now() - started_ < kStartHold;
+  }
+  const KeyTable* table = OwnTable();
+  return table != nullptr && ExpectsRanges(*table, MakeView(table->service_));
+}
+
+bool ControlThread::IsSharded(const std::string& service) const {
+  const auto found = routes_->services_.find(service);
+  return found != routes_->services_.end() && found->second.sharded_;
 }
 
 HeartbeatAnswer ControlThread::MakeAnswer() const {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -54,6 +54,7 @@
   void AnswerHeldBeats();
   HeartbeatAnswer MakeAnswer() const;
   bool ShouldHold() const;
+  bool IsSharded(const std::string& service) const;
   const KeyTable* OwnTable() const;
   OwnershipView MakeView(const std::string& service) const;
   std::vector<std::string> OtherNodes() const;
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -164,8 +164,8 @@
   return peer != peers_.end() && BootClock::now() - peer->second.facts_.received_ < kSuspectAfter;
 }
 
-// A node that leaves and takes nothing any more ends within milliseconds; what is sent to it could be
-// lost without a trace of whether it ran.
+// A node that leaves and takes nothing any more ends within milliseconds; what is sent to it could
+// be lost without a trace of whether it ran.
 bool RequestRouter::IsEnding(const std::string& node) const {
   const auto peer = peers_.find(node);
   return peer != peers_.end() && peer->second.facts_.report_.leaving_ &&
@@ -351,6 +351,7 @@
       return;
     case GateOutcome::kRejected:
       pending.last_refusal_ = answer.reason_;
+      pending.retry_after_ = kShortestRetryAfter;
       Refuse(number, "rejected-by-upstream");
       return;
     default:
--- a/Tests/LibOwnership/test_ownership_decision.cc
+++ b/Tests/LibOwnership/test_ownership_decision.cc
@@ -167,6 +167,30 @@
   }
 }
 
+// A move that was planned before would bring keys that have to move again at once.
+BOOST_AUTO_TEST_CASE(NoKeysMoveToADrainingUpstream) {
+  OwnershipView view = CalmView();
+  view.own_.draining_ = true;
+  KeyTable table = EvenTable({HolderAt("b"), HolderAt("c")});
+  table.ranges_[0].successor_ = HolderAt("a");
+  table.ranges_[0].planned_ = true;
+  const auto change = DecideOwnershipChange(table, view);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((FirstRange(change).successor_ != HolderAt("a")));
+  BOOST_TEST((FirstRange(change).owner_ == HolderAt("b")));
+}
+
+// Without the wait a new incarnation serves nothing until its second heartbeat, up to 1.5 s later.
+BOOST_AUTO_TEST_CASE(ANewIncarnationExpectsTheRangesOfTheFormerOne) {
+  OwnershipView view = CalmView();
+  const KeyTable table = EvenTable({HolderAt("a"), HolderAt("b")});
+  BOOST_TEST(!ExpectsRanges(table, view));
+  view.own_.holder_->born_ms_ += 1;
+  BOOST_TEST(ExpectsRanges(table, view));
+  view.own_.draining_ = true;
+  BOOST_TEST(!ExpectsRanges(table, view));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsDecidedWithoutTheStore) {
   OwnershipView view = CalmView();
   view.reaches_store_ = false;
