--- a/Tests/Services/ownership_model.h
+++ b/Tests/Services/ownership_model.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibOwnership/upstream_registry.h"
@@ -119,6 +120,9 @@
   BootTime now_;
   ModelStore store_;
   std::vector<ModelNode> nodes_;
+  /// Of processes that have ended.
+  std::vector<std::pair<std::unique_ptr<SharedPromises>, std::unique_ptr<OwnershipKeeper>>>
+      retired_;
   std::string broken_;
   std::uint64_t samples_ = 0;
   std::uint64_t held_samples_ = 0;
