LibTransport: Tell the response parser of an end only after bytes

The parser asserts in builds without NDEBUG otherwise; seen under the address sanitizer when an upstream closes a kept connection without an answer.

--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -83,7 +83,10 @@
 
 Result<void> ResponseReader::ReceiveEnd() {
   boost::system::error_code error;
-  impl_->parser_->put_eof(error);
+  // The parser may be told of the end only after it has taken some bytes.
+  if (impl_->parser_->got_some()) {
+    impl_->parser_->put_eof(error);
+  }
   if (error || !impl_->parser_->is_done()) {
     return MakeError(Errc::kConnectionLost, kStep, {}, "connection closed before the end");
   }
