--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -24,7 +24,6 @@
   bool reaches_store_ = false;  ///< It has read the newest table within the last second.
   /// The upstream beside it that can take keys; nothing when it has none that is ready.
   std::optional<Candidate> upstream_;
-  double load_ = 0;  ///< Slots in use and waiting requests, as a share of the slots.
 };
 
 /// The upstream beside this node.
--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -38,7 +38,6 @@
   std::size_t max_body_bytes_;
   std::unique_ptr<Parser> parser_;
   std::string pending_;  ///< Bytes of an incomplete header, which the parser takes as a whole.
-  bool started_ = false;
 };
 
 ResponseReader::ResponseReader(std::size_t max_body_bytes)
@@ -48,7 +47,6 @@
 ResponseReader& ResponseReader::operator=(ResponseReader&&) noexcept = default;
 
 Result<std::size_t> ResponseReader::Receive(std::string_view bytes) {
-  impl_->started_ = impl_->started_ || !bytes.empty();
   const std::size_t held_back = impl_->pending_.size();
   impl_->pending_.append(bytes);
   std::size_t used = 0;
@@ -95,8 +93,6 @@
 
 bool ResponseReader::IsComplete() const { return impl_->parser_->is_done(); }
 
-bool ResponseReader::HasStarted() const { return impl_->started_; }
-
 bool ResponseReader::KeepsConnection() const { return impl_->parser_->get().keep_alive(); }
 
 HttpResponse ResponseReader::TakeResponse() {
--- a/Libraries/LibTransport/response_reader.h
+++ b/Libraries/LibTransport/response_reader.h
@@ -26,7 +26,6 @@
   Result<void> ReceiveEnd();
 
   bool IsComplete() const;
-  bool HasStarted() const;       ///< Some byte has been received.
   bool KeepsConnection() const;  ///< Another request may follow on the connection.
 
   HttpResponse TakeResponse();
