--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -1,11 +1,25 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the sources of a configured build directory (default: build), or only over the files given.
+# Runs clang-tidy over the sources of a built build directory (default: build), or only over the files given. A source
+# that has passed before with the same contents, headers, flags and checks isn't read again; such passes are kept as
+# files under LINT_CACHE (default: ~/.cache/sassafrasbay-lint).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-build="${BUILD_DIR:-build}"
+export BUILD_DIR="${BUILD_DIR:-build}"
+export LINT_CACHE="${LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/sassafrasbay-lint}"
+mkdir -p "$LINT_CACHE"
 if (($# > 0)); then
   files=("$@")
 else
   mapfile -t files < <(git ls-files -co --exclude-standard -- '*.cc')
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+lint_one() {
+  clang-tidy --quiet -p "$BUILD_DIR" "$2" || return 1
+  [ "$1" = - ] || touch "$LINT_CACHE/$1"
+}
+export -f lint_one
+printf '%s\n' "${files[@]}" | Meta/lint_keys.py "$BUILD_DIR" |
+  while read -r key file; do
+    [ -e "$LINT_CACHE/$key" ] || printf '%s %s\n' "$key" "$file"
+  done |
+  xargs -r -P "$(nproc)" -L 1 bash -c 'lint_one "$@"' lint \
+    2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build ccache clang-format clang-tidy
+  g++ cmake ninja-build ccache clang-format clang-tidy python3
   libace-dev libwebsocketpp-dev libboost-dev libboost-test-dev nlohmann-json3-dev
   libtomlplusplus-dev libcurl4-openssl-dev libmicrohttpd-dev libpopt-dev
   libeasyloggingpp-dev libxxhash-dev curl
