Services: Enforce the limits of the configuration, and take the retry budget from the settings

max-header-bytes, max-body-bytes, header-timeout and idle-timeout were decoded but fixed bounds of the server held. The retry budget was a constant of each node, which 73 nodes together could exceed.

--- a/Libraries/LibRouting/retry.cc
+++ b/Libraries/LibRouting/retry.cc
@@ -1,6 +1,7 @@
 #include "LibRouting/retry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafrasbay {
 namespace {
@@ -18,6 +19,18 @@
 
 }  // namespace
 
+RetryTerms TermsOfOneNode(double ratio, double slack, std::size_t nodes) {
+  // The rest covers what nodes can't see of each other: calls that a repeated request repeats, and
+  // nodes that have started again with a full reserve.
+  constexpr double kUsed = 0.5;
+  RetryTerms terms;
+  terms.budget_percent_ = static_cast<int>(std::lround(kUsed * ratio * 100));
+  terms.reserve_ = kUsed * slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+  terms.base_delay_ = milliseconds(0);
+  terms.max_delay_ = milliseconds(0);
+  return terms;
+}
+
 RetryBudget MakeRetryBudget(const RetryTerms& terms) {
   RetryBudget budget;
   budget.terms_ = terms;
--- a/Libraries/LibRouting/retry.h
+++ b/Libraries/LibRouting/retry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <random>
 
@@ -15,6 +16,10 @@
   milliseconds max_delay_{250};
 };
 
+/// The share of one of `nodes` nodes in retries that all nodes together may make in any window:
+/// `ratio` for each request, and `slack` besides. Without a delay, as another upstream is tried.
+RetryTerms TermsOfOneNode(double ratio, double slack, std::size_t nodes);
+
 /// Token bucket filled by successful requests.
 struct RetryBudget {
   RetryTerms terms_;
--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -4,8 +4,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <chrono>
 #include <unordered_set>
 #include <utility>
 
@@ -17,23 +19,26 @@
 
 // Bounds the request line and all headers; libmicrohttpd answers 431 beyond it.
 constexpr std::size_t kConnectionMemoryBytes = 32U << 10U;
-// Frees connections of callers that vanished without closing. Suspended connections are exempt.
-constexpr unsigned kIdleTimeoutSeconds = 120;
+// Frees connections of callers that vanished in the middle of a request. Suspended connections are
+// exempt.
+constexpr unsigned kSilenceSeconds = 120;
 // libmicrohttpd can't answer in the middle of a body, so the rest of an oversize chunked body is
 // read and dropped, up to this multiple of the bound.
 constexpr std::size_t kDiscardFactor = 4;
 
 constexpr int kContentTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
 
 class Server final : public HttpServer, public ExchangeOwner {
  public:
-  Server(ReactorLoop& loop, std::size_t max_body_bytes, HttpHandler handler)
-      : loop_(loop), max_body_bytes_(max_body_bytes), handler_(std::move(handler)) {}
+  Server(ReactorLoop& loop, const HttpLimits& limits, HttpHandler handler)
+      : loop_(loop), limits_(limits), handler_(std::move(handler)) {}
   ~Server() override;
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
   Result<void> Start(int listen_socket, unsigned max_connections);
+  void SetLimits(const HttpLimits& limits) override { limits_ = limits; }
   void StopAccepting() override;
   std::size_t OpenExchanges() const override { return open_exchanges_; }
   std::uint16_t Port() const override { return port_; }
@@ -41,6 +46,7 @@
 
   MHD_Result OnAccess(const ExchangePointer& exchange, MHD_Connection* connection,
                       const char* method, std::string_view upload, size_t* upload_size);
+  void OnConnected(MHD_Connection* connection) const;
   void OnCompleted(Exchange& exchange);
   void Resume(Exchange& exchange) override;
 
@@ -57,7 +63,7 @@
   void ScheduleTimeout();
 
   ReactorLoop& loop_;
-  std::size_t max_body_bytes_;
+  HttpLimits limits_;
   HttpHandler handler_;
   MHD_Daemon* daemon_ = nullptr;
   int epoll_descriptor_ = -1;
@@ -71,6 +77,12 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
 };
 
+void SetTimeout(MHD_Connection* connection, milliseconds timeout) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeout).count();
+  MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                            static_cast<unsigned>(std::max<decltype(seconds)>(1, seconds)));
+}
+
 int SocketOf(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -104,9 +116,11 @@
   *context = nullptr;
 }
 
-void OnConnection(void*, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code) {
+void OnConnection(void* server, MHD_Connection* connection, void**,
+                  MHD_ConnectionNotificationCode code) {
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
     SetNoDelay(SocketOf(connection));
+    static_cast<Server*>(server)->OnConnected(connection);
   }
 }
 
@@ -116,8 +130,8 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &sassafrasbay::OnAccess, this,
       MHD_OPTION_LISTEN_SOCKET, listen_socket, MHD_OPTION_CONNECTION_LIMIT, max_connections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
-      kIdleTimeoutSeconds, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, this, MHD_OPTION_NOTIFY_COMPLETED,
-      &sassafrasbay::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, nullptr,
+      kSilenceSeconds, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, this, MHD_OPTION_NOTIFY_COMPLETED,
+      &sassafrasbay::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, this,
       MHD_OPTION_END);
   if (daemon_ == nullptr) {
     const int number = errno;
@@ -178,10 +192,18 @@
   exchange.started_ = true;
   exchange.request_.method_ = method;
   exchange.request_.headers_ = ReadHeaders(exchange.connection_);
+  SetTimeout(exchange.connection_, std::chrono::seconds(kSilenceSeconds));
+  std::size_t header_bytes = 0;
+  for (const auto& [name, value] : exchange.request_.headers_) {
+    header_bytes += name.size() + value.size();
+  }
+  if (header_bytes > limits_.max_header_bytes_) {
+    return Refuse(exchange, kHeadersTooLarge);
+  }
   const std::string_view length = FindHeader(exchange.request_.headers_, "Content-Length");
   std::size_t bytes = 0;
   std::from_chars(length.data(), length.data() + length.size(), bytes);
-  if (bytes > max_body_bytes_) {
+  if (bytes > limits_.max_body_bytes_) {
     return Refuse(exchange, kContentTooLarge);
   }
   exchange.request_.body_.reserve(bytes);
@@ -191,13 +213,14 @@
 MHD_Result Server::ReceiveBody(Exchange& exchange, std::string_view upload, size_t* upload_size) {
   *upload_size = 0;
   exchange.received_bytes_ += upload.size();
-  if (exchange.received_bytes_ <= max_body_bytes_) {
+  if (exchange.received_bytes_ <= limits_.max_body_bytes_) {
     exchange.request_.body_.append(upload);
     return MHD_YES;
   }
   exchange.too_large_ = true;
   exchange.request_.body_.clear();
-  return exchange.received_bytes_ > max_body_bytes_ * kDiscardFactor ? MHD_NO : MHD_YES;
+  const bool hopeless = exchange.received_bytes_ > limits_.max_body_bytes_ * kDiscardFactor;
+  return hopeless ? MHD_NO : MHD_YES;
 }
 
 MHD_Result Server::Dispatch(const ExchangePointer& exchange) {
@@ -229,11 +252,19 @@
 }
 
 MHD_Result Server::Refuse(Exchange& exchange, int status) {
-  exchange.response_ = HttpResponse{status, {}, "request body is too large\n"};
+  exchange.response_ = HttpResponse{
+      status,
+      {},
+      status == kContentTooLarge ? "request body is too large\n" : "headers are too large\n"};
   return SendAnswer(exchange);
 }
 
+void Server::OnConnected(MHD_Connection* connection) const {
+  SetTimeout(connection, limits_.header_timeout_);
+}
+
 void Server::OnCompleted(Exchange& exchange) {
+  SetTimeout(exchange.connection_, limits_.idle_timeout_);
   if (exchange.dispatched_) {
     --open_exchanges_;
   }
@@ -336,7 +367,7 @@
 }
 
 HttpServerBuilder& HttpServerBuilder::MaxBodyBytes(std::size_t bytes) {
-  max_body_bytes_ = bytes;
+  limits_.max_body_bytes_ = bytes;
   return *this;
 }
 
@@ -352,7 +383,7 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServerBuilder::Build() {
   SASSAFRASBAY_TRY(listen_socket, OpenListenSocket(host_, port_));
-  auto server = std::make_unique<Server>(loop_, max_body_bytes_, handler_);
+  auto server = std::make_unique<Server>(loop_, limits_, handler_);
   const Result<void> started = server->Start(listen_socket, max_connections_);
   if (!started) {
     return started.error();
--- a/Libraries/LibTransport/http_server.h
+++ b/Libraries/LibTransport/http_server.h
@@ -25,10 +25,20 @@
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+/// Bounds on what callers may send. Times are rounded up to seconds.
+struct HttpLimits {
+  std::size_t max_header_bytes_ = 16U << 10U;  ///< Names and values; 431 beyond it.
+  std::size_t max_body_bytes_ = 1U << 20U;     ///< 413 beyond it.
+  milliseconds header_timeout_{120'000};  ///< Silence before the first request of a connection.
+  milliseconds idle_timeout_{120'000};    ///< Silence after an answer.
+};
+
 /// libmicrohttpd on a reactor loop. Destroying it closes all connections.
 class HttpServer {
  public:
   virtual ~HttpServer() = default;
+  /// Holds for connections and requests that begin, and answers that end, after the call.
+  virtual void SetLimits(const HttpLimits& limits) = 0;
   /// Stops accepting connections; open exchanges can still be answered.
   virtual void StopAccepting() = 0;
   virtual std::size_t OpenExchanges() const = 0;
@@ -51,7 +61,7 @@
   ReactorLoop& loop_;
   std::string host_ = "127.0.0.1";
   std::uint16_t port_ = 0;
-  std::size_t max_body_bytes_ = 1U << 20U;
+  HttpLimits limits_;
   unsigned max_connections_ = 2000;
   HttpHandler handler_;
 };
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -41,25 +41,11 @@
 /// Time named to a caller whose key has no reachable owner.
 constexpr milliseconds kNoOwnerRetryAfter{300};
 
-/// Repeated requests for each 100 that succeed. The operators allow twice as many, for all nodes
-/// together, besides a slack; nodes don't know what the others have used.
-constexpr int kRepeatsPerHundred = 8;
-constexpr double kRepeatReserve = 3;
-
 /// Weight of a result in the smoothed share of failures, and the share above which an upstream is
 /// avoided.
 constexpr double kFailureWeight = 0.1;
 constexpr double kFailingShare = 0.3;
 
-RetryBudget MakeBudget() {
-  RetryTerms terms;
-  terms.budget_percent_ = kRepeatsPerHundred;
-  terms.reserve_ = kRepeatReserve;
-  terms.base_delay_ = milliseconds(0);
-  terms.max_delay_ = milliseconds(0);
-  return MakeRetryBudget(terms);
-}
-
 double ServiceTimeOf(std::span<const ServiceTime> times, std::string_view request_class) {
   const auto found = std::find_if(times.begin(), times.end(), [&](const ServiceTime& time) {
     return time.class_ == request_class;
@@ -367,8 +353,7 @@
   switch (answer.outcome_) {
     case GateOutcome::kAnswered:
       if (!failed) {
-        auto budget = budgets_.try_emplace(pending.service_, MakeBudget()).first;
-        CountSuccess(budget->second);
+        CountSuccess(BudgetOf(pending.service_));
       }
       Finish(number, platform::MakeCallerResponse(std::move(answer.response_)), kAnsweredOutcome);
       return;
@@ -411,14 +396,22 @@
   Dispatch(number);
 }
 
+RetryBudget& RequestRouter::BudgetOf(const std::string& service) {
+  const platform::NodeEnvironment& environment = shared_.environment_;
+  const RetryTerms terms = TermsOfOneNode(environment.retry_ratio_, environment.retry_slack_,
+                                          snapshot_->members_.size() + 1);
+  RetryBudget& budget = budgets_.try_emplace(service, MakeRetryBudget(terms)).first->second;
+  budget.terms_ = terms;
+  return budget;
+}
+
 bool RequestRouter::MayRepeat(Pending& pending, bool reached_upstream) {
   if (pending.sent_ >= pending.route_->max_attempts_) {
     return false;
   }
   const RetryQuestion question{pending.route_->kind_, reached_upstream, false, pending.sent_,
                                pending.deadline_};
-  RetryBudget& budget = budgets_.try_emplace(pending.service_, MakeBudget()).first->second;
-  return DecideRetry(budget, question, BootClock::now(), random_).has_value();
+  return DecideRetry(BudgetOf(pending.service_), question, BootClock::now(), random_).has_value();
 }
 
 void RequestRouter::Retry(std::uint64_t number, milliseconds pause) {
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -91,6 +91,8 @@
   void SendTo(std::uint64_t number, const std::string& node);
   void Decide(std::uint64_t number, ForwardedAnswer answer);
   void OnRefused(std::uint64_t number, const ForwardedAnswer& answer);
+  /// Retries that this node may still make for a service.
+  RetryBudget& BudgetOf(const std::string& service);
   bool MayRepeat(Pending& pending, bool reached_upstream);
   void Retry(std::uint64_t number, milliseconds pause);
   void OnDeadline(std::uint64_t number);
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -62,10 +62,8 @@
   gate_.SetHooks({[this] { control_.upstream_refused_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); }});
   const platform::NodeEnvironment& environment = shared_.environment_;
-  constexpr std::size_t kMaxBodyBytes = 64U << 20U;  ///< The operators' largest bound.
   auto callers = HttpServerBuilder(loop_)
                      .Listen(environment.callers_.host_, environment.callers_.port_)
-                     .MaxBodyBytes(kMaxBodyBytes)
                      .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
                        router_.Handle(exchange);
                      })
@@ -129,6 +127,11 @@
   snapshot_ = snapshot;
   // Only now do reports state the end up to which the writes are known.
   shared_.promises_.Resolve(snapshot->tables_end_);
+  if (configuration_changed) {
+    const CallerLimits& limits = snapshot->routes_->limits_;
+    callers_->SetLimits({limits.max_header_bytes_, limits.max_body_bytes_, limits.header_timeout_,
+                         limits.idle_timeout_});
+  }
   gate_.SetUpstream(snapshot->upstream_);
   router_.SetSnapshot(snapshot);
   // Others route by the upstream at once instead of after the interval, and read a configuration
--- a/Tests/LibRouting/test_retry.cc
+++ b/Tests/LibRouting/test_retry.cc
@@ -108,5 +108,31 @@
   }
 }
 
+// Pattern: an outage of a service in a large system, where every node retries all it may. A fixed
+// reserve of each node exceeded the operators' bound at 73 nodes.
+BOOST_AUTO_TEST_CASE(AllNodesTogetherStayWithinTheOperatorsBound) {
+  constexpr double kRatio = 0.2;
+  constexpr double kSlack = 172;
+  for (const std::size_t nodes : {1U, 11U, 73U, 300U}) {
+    for (const int successes : {0, 5, 40}) {
+      double retries = 0;
+      for (std::size_t node = 0; node < nodes; ++node) {
+        RetryBudget budget = MakeRetryBudget(TermsOfOneNode(kRatio, kSlack, nodes));
+        std::mt19937_64 random(1);
+        const RetryQuestion question{RequestKind::kIdempotent, true, false, 1,
+                                     BootTime(std::chrono::hours(1))};
+        for (int i = 0; i <= successes; ++i) {
+          while (DecideRetry(budget, question, BootTime{}, random)) {
+            ++retries;
+          }
+          CountSuccess(budget);
+        }
+      }
+      const double requests = static_cast<double>(nodes) * successes;
+      BOOST_TEST(retries <= kRatio * requests + kSlack, nodes << " nodes, " << successes);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sassafrasbay
--- a/Tests/LibTransport/test_http_server.cc
+++ b/Tests/LibTransport/test_http_server.cc
@@ -74,6 +74,59 @@
   BOOST_TEST(server->OpenExchanges() == 0U);
 }
 
+// Guards against limits of the configuration that don't take effect in a running server.
+BOOST_AUTO_TEST_CASE(LimitsHoldFromTheCallOn) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    exchange->Respond(HttpResponse{200, {}, "done."});
+  });
+  HttpLimits limits;
+  limits.max_header_bytes_ = 200;
+  limits.max_body_bytes_ = 10;
+  server->SetLimits(limits);
+  std::string long_header;
+  std::string long_body;
+  std::string within;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket first(LoopbackSocket::ConnectTo(server->Port()));
+    first.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(300, 'x') + "\r\n\r\n");
+    long_header = first.ReadUntil("too large");
+    const LoopbackSocket second(LoopbackSocket::ConnectTo(server->Port()));
+    second.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n");
+    long_body = second.ReadUntil("too large");
+    const LoopbackSocket third(LoopbackSocket::ConnectTo(server->Port()));
+    third.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n0123456789");
+    within = third.ReadUntil("done.");
+  });
+  BOOST_TEST(long_header.starts_with("HTTP/1.1 431"));
+  BOOST_TEST(long_body.starts_with("HTTP/1.1 413"));
+  BOOST_TEST(within.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against connections that stay open for longer than the configuration allows, and against
+// ones that are closed while they may still be reused.
+BOOST_AUTO_TEST_CASE(AnIdleConnectionIsClosedAfterItsTime) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    exchange->Respond(HttpResponse{200, {}, "done."});
+  });
+  HttpLimits limits;
+  limits.header_timeout_ = milliseconds(60'000);
+  limits.idle_timeout_ = milliseconds(1500);
+  server->SetLimits(limits);
+  milliseconds idle{0};
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/"));
+    caller.ReadUntil("done.");
+    const auto start = std::chrono::steady_clock::now();
+    caller.ReadUntil("never");
+    idle = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+  });
+  BOOST_TEST(idle.count() >= 1500);
+  BOOST_TEST(idle.count() < 10'000);
+}
+
 // Guards against pipelined requests being taken for a disconnect or being lost.
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
   ReactorLoop loop;
