Tests: Add a fault soak of real processes on loopback

Seven nodes with their targets, a store and proxies on all links between nodes and to the store. Random faults: kills, pauses, SIGTERM and SIGHUP, links that are cut one way, silent, slow or reset, a store that refuses, is silent, loses answers or drops its history, targets that crash or are replaced, new configurations; several at once. It checks OWNER, TWICE, REFUSED, MIXED, UNASKED, LOST, DRAIN and RECOVER from what callers and targets see.

A node has an option for the address that others connect to, since a proxy stands in front of it here.

--- a/Services/sassafrasbay/router/router_node.cc
+++ b/Services/sassafrasbay/router/router_node.cc
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-Result<void> RunRouterNode(platform::NodeEnvironment environment,
+Result<void> RunRouterNode(platform::NodeEnvironment environment, std::string advertised,
                            const std::function<Result<platform::NodeEnvironment>()>& reload) {
   // Blocked before any thread starts, so that only this thread receives them.
   const sigset_t signals = HandledSignals();
@@ -64,8 +64,9 @@
 
   RouterShared shared;
   shared.environment_ = std::move(environment);
+  const platform::ListenAddress& peers = shared.environment_.peers_;
   shared.self_ =
-      shared.environment_.peers_.host_ + ":" + std::to_string(shared.environment_.peers_.port_);
+      advertised.empty() ? peers.host_ + ":" + std::to_string(peers.port_) : std::move(advertised);
   TrafficThread traffic(shared);
   ControlThread control(shared);
   SASSAFRASBAY_TRY(traffic.Open(control.Calls()));
--- a/Services/sassafrasbay/sidecar_command.cc
+++ b/Services/sassafrasbay/sidecar_command.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -19,7 +20,12 @@
 }  // namespace
 
 ExitCode RunSidecarCommand(std::span<const char*> arguments) {
-  const ParsedArguments parsed = ParseArguments(arguments, kHelp, {});
+  std::string advertised;
+  const std::array<CommandOption, 1> table = {{
+      {"advertise", "address for other nodes, when it isn't the listening one", "IP:PORT",
+       &advertised},
+  }};
+  const ParsedArguments parsed = ParseArguments(arguments, kHelp, table);
   if (!parsed.valid_ || !parsed.operands_.empty()) {
     return ExitCode::kUsage;
   }
@@ -41,7 +47,7 @@
     return ExitCode::kInvalidFile;
   }
   InitializeLogging({});
-  if (auto ran = RunRouterNode(std::move(environment.value()), load); !ran) {
+  if (auto ran = RunRouterNode(std::move(environment.value()), advertised, load); !ran) {
     std::cerr << "sassafrasbay sidecar: " << ToString(ran.error()) << "\n";
     return ExitCode::kFailure;
   }
--- /dev/null
+++ b/Tests/Soak/fleet.cc
@@ -0,0 +1,169 @@
+#include "Soak/fleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "platform/node_environment.h"
+#include "platform/wire_names.h"
+
+namespace sassafrasbay::soak {
+namespace {
+
+constexpr std::uint16_t kCallersPort = 7001;
+constexpr std::uint16_t kReadyPort = 7002;
+constexpr std::uint16_t kHeartbeatPort = 7003;
+constexpr std::uint16_t kPeerPort = 7620;
+constexpr std::uint16_t kTargetPort = 8000;
+
+/// Proxies of one network listen from here on, below the ports that the system hands out.
+constexpr int kProxyPorts = 20'000;
+constexpr int kProxyPortsPerNetwork = 40;
+
+constexpr std::string_view kLookupService = "lookup";
+constexpr std::string_view kBookingService = "booking";
+
+std::string PortText(std::string_view host, int port) {
+  return std::string(host) + ":" + std::to_string(port);
+}
+
+}  // namespace
+
+Fleet::Fleet(ReactorLoop& loop, Ledger& ledger, std::mt19937_64& random, int network,
+             std::filesystem::path directory)
+    : loop_(loop),
+      ledger_(ledger),
+      random_(random),
+      network_(network),
+      directory_(std::move(directory)),
+      store_(loop),
+      proxy_(loop) {}
+
+Result<void> Fleet::OpenProxy(const std::string& name, int port, const std::string& host,
+                              std::uint16_t target_port) {
+  stand_ins::ProxyRoute& route = proxy_.routes_[name];
+  route.name_ = name;
+  route.listen_port_ = static_cast<std::uint16_t>(port);
+  route.target_host_ = host;
+  route.target_port_ = target_port;
+  return stand_ins::OpenRoute(proxy_, route);
+}
+
+Result<void> Fleet::Start() {
+  WriteConfiguration();
+  const std::string store = store_.Address();
+  const auto store_port = static_cast<std::uint16_t>(std::stoi(store.substr(store.rfind(':') + 1)));
+  vms_.resize(kNodes);
+  for (int i = 0; i < kNodes; ++i) {
+    Vm& vm = vms_[static_cast<std::size_t>(i)];
+    const bool lookup = i < kLookupNodes;
+    const int ports = kProxyPorts + network_ * kProxyPortsPerNetwork + 2 * i;
+    vm.name_ = "vm-" + std::to_string(i);
+    vm.host_ = "127." + std::to_string(network_) + ".0." + std::to_string(10 + i);
+    vm.advertised_ = PortText("127.0.0.1", ports);
+    vm.log_ = directory_ / (vm.name_ + ".log");
+    vm.settings_ = directory_ / (vm.name_ + ".toml");
+    SASSAFRASBAY_TRY(OpenProxy("peer-" + vm.name_, ports, vm.host_, kPeerPort));
+    SASSAFRASBAY_TRY(OpenProxy("store-" + vm.name_, ports + 1, "127.0.0.1", store_port));
+    std::ofstream(vm.settings_) << SettingsOf(vm, i);
+    StartProcess(vm);
+    TargetOptions options{std::string(lookup ? kLookupService : kBookingService),
+                          vm.host_,
+                          kTargetPort,
+                          "dc-" + std::to_string(i % 3),
+                          "http://" + PortText(vm.host_, kHeartbeatPort),
+                          lookup,
+                          [&vm] {
+                            constexpr milliseconds kThaw{300};
+                            return BootClock::now() - vm.disturbed_ < kThaw;
+                          }};
+    vm.target_ = std::make_unique<Target>(loop_, ledger_, random_, std::move(options));
+    vm.target_->Start();
+    vm.callers_ = std::make_unique<UpstreamClient>(loop_);
+    vm.callers_->SetAddress(PortText(vm.host_, kCallersPort));
+  }
+  return boost::outcome_v2::success();
+}
+
+std::string Fleet::SettingsOf(const Vm& vm, int index) const {
+  const std::string quoted_host = "\"" + vm.host_ + ":";
+  const int store_proxy = kProxyPorts + network_ * kProxyPortsPerNetwork + 2 * index + 1;
+  const std::string service(index < kLookupNodes ? kLookupService : kBookingService);
+  return "node = \"" + vm.name_ + "\"\nip = \"" + vm.host_ + "\"\nzone = \"dc-" +
+         std::to_string(index % 3) + "\"\nservice = \"" + service +
+         "\"\napp-addr = " + quoted_host + std::to_string(kTargetPort) +
+         "\"\nbeat-interval = \"870ms\"\n" + "port-range = [" + std::to_string(kPeerPort) + ", " +
+         std::to_string(kPeerPort + 15) +
+         "]\nbounds = [\"drain-timeout=2000ms\", \"grace-period=6s\", \"hold-max=10000ms\", " +
+         "\"retry-ratio=0.2\", \"budget-window=10s\", \"budget-slack=62\"]\n" +
+         "[listen-addrs]\noutbound-addr = " + quoted_host + std::to_string(kCallersPort) +
+         "\"\nready-addr = " + quoted_host + std::to_string(kReadyPort) +
+         "\"\ncontrol-addr = " + quoted_host + std::to_string(kHeartbeatPort) +
+         "\"\n[platform]\naddr = \"" + PortText("127.0.0.1", store_proxy) + "\"\n";
+}
+
+void Fleet::StartProcess(Vm& vm) {
+  // The loop's thread is the only one, and the child reads the variable at its start.
+  setenv(platform::kSettingsVariable, vm.settings_.c_str(), 1);
+  const std::vector<std::string> arguments = {"sidecar", "--advertise", vm.advertised_};
+  auto process = harness::Process::Start(SASSAFRASBAY_PROGRAM, arguments, vm.log_);
+  if (!process) {
+    std::cout << "process not started: " << ToString(process.error()) << std::endl;
+    std::exit(EXIT_FAILURE);
+  }
+  vm.process_ = std::move(process.value());
+}
+
+void Fleet::WriteConfiguration() {
+  const auto route = [](const char* name, const char* kind, int priority, const char* prefix,
+                        std::string_view service) {
+    return nlohmann::json{
+        {"name", name},
+        {"kind", kind},
+        {"slo", "300ms"},
+        {"priority", priority},
+        {"match", {{"path-prefix", prefix}}},
+        {"action", {{"service", std::string(service)}, {"timeout", "800ms"}, {"max-attempts", 2}}}};
+  };
+  const auto cluster = [](std::string_view name, bool sharded) {
+    return nlohmann::json{{"name", std::string(name)},
+                          {"health-path", "/healthz"},
+                          {"max-conns", 130},
+                          {"sharded", sharded}};
+  };
+  constexpr int kVersionDigits = 8;
+  version_ += 1 + random_() % 3;
+  std::string version(kVersionDigits + 1, '\0');
+  std::snprintf(version.data(), version.size(), "%08llx",
+                static_cast<unsigned long long>(version_));
+  version.pop_back();
+  const nlohmann::json configuration = {
+      {"version", version},
+      {"listeners",
+       {{{"host", "soak.example"},
+         {"rules",
+          {route("lookup", "idempotent", 2, "/lookup/", kLookupService),
+           route("report", "idempotent", 2, "/report/", kBookingService),
+           route("book", "non_idempotent", 0, "/book/", kBookingService)}}}}},
+      {"clusters", {cluster(kLookupService, true), cluster(kBookingService, false)}}};
+  store_.Append(platform::kOperatorTopic, platform::kConfigurationKey, configuration.dump());
+}
+
+void Fleet::SetFaults(const std::string& route, pid_t process,
+                      const stand_ins::ProxyFaults& faults) {
+  stand_ins::ProxyRoute& found = proxy_.routes_.at(route);
+  found.faults_[process] = faults;
+  stand_ins::RefreshConnections(proxy_, found);
+}
+
+void Fleet::SetPeerFaults(std::size_t node, pid_t from, const stand_ins::ProxyFaults& faults) {
+  SetFaults("peer-" + vms_[node].name_, from, faults);
+}
+
+void Fleet::SetStoreFaults(std::size_t node, const stand_ins::ProxyFaults& faults) {
+  SetFaults("store-" + vms_[node].name_, 0, faults);
+}
+
+}  // namespace sassafrasbay::soak
--- a/Tests/StandIns/proxy_relay.cc
+++ b/Tests/StandIns/proxy_relay.cc
@@ -1,5 +1,6 @@
 #include "StandIns/proxy_relay.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,11 +22,11 @@
 constexpr auto kRead = static_cast<unsigned>(Readiness::kRead);
 constexpr auto kWrite = static_cast<unsigned>(Readiness::kWrite);
 
-sockaddr_in LocalSocketAddress(std::uint16_t port) {
+sockaddr_in SocketAddress(const std::string& host, std::uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, host.c_str(), &address.sin_addr);
   return address;
 }
 
@@ -216,7 +217,7 @@
   }
   const ProxyFaults faults = FaultsOf(route, caller);
   const int target = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = LocalSocketAddress(route.target_port_);
+  const sockaddr_in address = SocketAddress(route.target_host_, route.target_port_);
   const bool failed =
       connect(target, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
       errno != EINPROGRESS;
@@ -242,7 +243,7 @@
   route.listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(route.listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in address = LocalSocketAddress(route.listen_port_);
+  const sockaddr_in address = SocketAddress("127.0.0.1", route.listen_port_);
   if (bind(route.listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
       listen(route.listener_, kBacklog) != 0) {
     return MakeError({errno, std::generic_category()}, "listen", route.name_,
--- a/Tests/StandIns/proxy_relay.h
+++ b/Tests/StandIns/proxy_relay.h
@@ -29,6 +29,7 @@
 struct ProxyRoute {
   std::string name_;
   std::uint16_t listen_port_ = 0;
+  std::string target_host_ = "127.0.0.1";
   std::uint16_t target_port_ = 0;
   int listener_ = -1;
   std::map<pid_t, ProxyFaults> faults_;
