--- a/Libraries/LibOwnership/balance_plan.cc
+++ b/Libraries/LibOwnership/balance_plan.cc
@@ -32,6 +32,14 @@
   return use.per_second_ / std::max(use.demand_.capacity_per_second_, 1.0);
 }
 
+double RateOf(const UpstreamDemand& upstream) {
+  double per_second = upstream.arriving_per_second_;
+  for (const KeyDemand& piece : upstream.pieces_) {
+    per_second += piece.per_second_;
+  }
+  return per_second;
+}
+
 /// The piece whose move lowers the greater of the two uses most; null when none does.
 KeyDemand* BestPiece(Use& from, const Use& to) {
   const double before = ShareOf(from);
@@ -52,14 +60,14 @@
 
 }  // namespace
 
+double UseOf(const UpstreamDemand& upstream) {
+  return RateOf(upstream) / std::max(upstream.capacity_per_second_, 1.0);
+}
+
 std::vector<PlannedMove> PlanBalance(std::span<const UpstreamDemand> upstreams) {
   std::vector<Use> uses;
   for (const UpstreamDemand& upstream : upstreams) {
-    Use use{upstream, upstream.arriving_per_second_, false};
-    for (const KeyDemand& piece : upstream.pieces_) {
-      use.per_second_ += piece.per_second_;
-    }
-    uses.push_back(std::move(use));
+    uses.push_back({upstream, RateOf(upstream), false});
   }
   std::vector<PlannedMove> moves;
   if (uses.size() < 2) {
--- a/Libraries/LibOwnership/balance_plan.h
+++ b/Libraries/LibOwnership/balance_plan.h
@@ -28,6 +28,9 @@
   double per_second_ = 0;  ///< Demand for the keys when the move was planned.
 };
 
+/// Demand on an upstream as a share of what it can serve.
+double UseOf(const UpstreamDemand& upstream);
+
 /// Moves that even out the use of the upstreams. Pattern: the busy keys are few neighbours, which
 /// keys are busy changes within seconds, and upstreams differ in speed. Empty while no upstream is
 /// near its capacity or the use is about even.
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -1,8 +1,11 @@
 #include "LibOwnership/ownership_decision.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
+#include <span>
+#include <string>
 #include <utility>
 
 #include "LibOwnership/report_pace.h"
@@ -361,20 +364,36 @@
   return all;
 }
 
+/// The uses that a plan was made from, in percent, for the log.
+std::string UsesText(std::span<const UpstreamDemand> demand) {
+  std::vector<int> uses;
+  for (const UpstreamDemand& upstream : demand) {
+    uses.push_back(static_cast<int>(std::lround(UseOf(upstream) * 100)));
+  }
+  std::sort(uses.begin(), uses.end());
+  std::string text = " uses=";
+  for (const int use : uses) {
+    text += (text.ends_with('=') ? "" : ",") + std::to_string(use);
+  }
+  return text;
+}
+
 Decision BalanceDemand(const KeyTable& table, const OwnershipView& view) {
   if (view.now_ - view.last_balance_ < kBalanceInterval) {
     return std::nullopt;
   }
   KeyTable next = table;
   std::string moves;
-  const std::vector<PlannedMove> planned = PlanBalance(DemandAfterMoves(table, view));
+  const std::vector<UpstreamDemand> demand = DemandAfterMoves(table, view);
+  const std::vector<PlannedMove> planned = PlanBalance(demand);
   for (const PlannedMove& move : planned) {
     next = BeginMove(next, move.owner_, move.keys_, move.successor_);
     moves += " " + std::to_string(move.keys_.first_) + "-" + std::to_string(move.keys_.last_) +
              ":" + move.owner_.instance_ + ">" + move.successor_.instance_;
   }
   next.version_ = table.version_ + 1;
-  Decision decision = IfChanged(table, std::move(next), "balance of demand," + moves);
+  Decision decision =
+      IfChanged(table, std::move(next), "balance of demand," + UsesText(demand) + moves);
   if (decision) {
     decision->for_balance_ = true;
     decision->moves_ = planned;
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -21,5 +21,5 @@
   while read -r key file; do
     [ -e "$LINT_CACHE/$key" ] || printf '%s %s\n' "$key" "$file"
   done |
-  xargs -r -P "$(nproc)" -L 1 bash -c 'lint_one "$@"' lint \
+  xargs -r -P "${LINT_JOBS:-$(nproc)}" -L 1 bash -c 'lint_one "$@"' lint \
     2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
--- a/Tests/Soak/ledger.cc
+++ b/Tests/Soak/ledger.cc
@@ -2,8 +2,6 @@
 
 #include <iostream>
 
-#include "Soak/target.h"
-
 namespace sassafrasbay::soak {
 namespace {
 
@@ -30,6 +28,8 @@
 
 std::string AnswerTo(std::string_view id) { return "done " + std::string(id); }
 
+std::string StampOf(std::string_view id) { return "stamp-" + std::string(id); }
+
 void Ledger::Report(std::string_view promise, const std::string& what) {
   violations_.push_back(std::string(promise) + ": " + what);
   std::cout << "BROKEN " << violations_.back() << std::endl;
@@ -41,7 +41,7 @@
 }
 
 void Ledger::OnRun(const std::string& id, std::string_view path, std::string_view body, int key,
-                   const Target& target) {
+                   const KeyHolder& target) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) {
     Report("UNASKED", "request " + id + " was never sent");
@@ -64,8 +64,8 @@
 }
 
 // Both hold the key, and both have begun a request on it since both hold it.
-void Ledger::CheckOwner(const std::string& id, int key, const Target& target) {
-  for (const Target* other : targets_) {
+void Ledger::CheckOwner(const std::string& id, int key, const KeyHolder& target) {
+  for (const KeyHolder* other : targets_) {
     if (other == &target || !other->Holds(key)) {
       continue;
     }
@@ -103,7 +103,7 @@
   }
 }
 
-void Ledger::OnTake(int key, std::uint64_t token, const Target& target, bool disturbed) {
+void Ledger::OnTake(int key, std::uint64_t token, const KeyHolder& target, bool disturbed) {
   auto& [highest, instance] = highest_token_[key];
   if (token <= highest && instance != target.Instance() && !disturbed) {
     Report("OWNER", "key " + std::to_string(key) + " goes to " + target.Instance() +
@@ -116,7 +116,7 @@
   }
 }
 
-void Ledger::OnLateArrival(const std::string& id, const Target& target) {
+void Ledger::OnLateArrival(const std::string& id, const KeyHolder& target) {
   if (open_disruptions_ == 0 && BootClock::now() - disrupted_ > kTouch) {
     Report("DRAIN", "request " + id + " reaches " + target.Instance() + " too late");
   }
--- a/Tests/Soak/ledger.h
+++ b/Tests/Soak/ledger.h
@@ -12,7 +12,15 @@
 
 namespace sassafrasbay::soak {
 
-class Target;
+/// A target as far as the ownership of keys goes.
+class KeyHolder {
+ public:
+  virtual ~KeyHolder() = default;
+  virtual const std::string& Instance() const = 0;
+  virtual bool Holds(int key) const = 0;
+  virtual BootTime HeldSince(int key) const = 0;
+  virtual BootTime LastRun(int key) const = 0;  ///< When it began the newest request on the key.
+};
 
 /// Kinds of request that callers send.
 enum class Kind : std::uint8_t {
@@ -24,21 +32,21 @@
 /// What callers and targets have seen, and which promises that breaks. Not thread-safe.
 class Ledger {
  public:
-  void AddTarget(const Target* target) { targets_.push_back(target); }
+  void AddTarget(const KeyHolder* target) { targets_.push_back(target); }
 
   void OnSent(const std::string& id, Kind kind);
   /// A target begins to work on a request. `key` is -1 without one.
   void OnRun(const std::string& id, std::string_view path, std::string_view body, int key,
-             const Target& target);
+             const KeyHolder& target);
   /// A caller gets a whole answer.
   void OnAnswer(const std::string& id, const HttpResponse& answer);
   /// A caller's connection ended without an answer. `was_read` when the request may have left.
   void OnLost(const std::string& id, bool was_read, BootTime now);
   /// A target takes keys that it didn't hold with this token. `disturbed` when the grant's node was
   /// thawed or its links healed less than the platform's bound before.
-  void OnTake(int key, std::uint64_t token, const Target& target, bool disturbed);
+  void OnTake(int key, std::uint64_t token, const KeyHolder& target, bool disturbed);
   /// A request reaches a target that has been acknowledged as draining for longer than the bound.
-  void OnLateArrival(const std::string& id, const Target& target);
+  void OnLateArrival(const std::string& id, const KeyHolder& target);
 
   /// Unplanned trouble starts or ends now. Losses within `kTouch` of it are excused.
   void OnDisruption(BootTime now) { disrupted_ = now; }
@@ -60,9 +68,9 @@
   };
 
   void Report(std::string_view promise, const std::string& what);
-  void CheckOwner(const std::string& id, int key, const Target& target);
+  void CheckOwner(const std::string& id, int key, const KeyHolder& target);
 
-  std::vector<const Target*> targets_;
+  std::vector<const KeyHolder*> targets_;
   std::map<std::string, Request> requests_;
   std::map<int, std::uint64_t> answers_;  ///< Count by status; 0 for none.
   std::map<int, std::pair<std::uint64_t, std::string>> highest_token_;  ///< With its incarnation.
@@ -78,5 +86,8 @@
 std::string BodyOf(Kind kind, std::string_view id);
 /// Body of a target's successful answer.
 std::string AnswerTo(std::string_view id);
+/// Header and value that mark a target's own answer.
+inline constexpr std::string_view kStampHeader = "X-Server-Stamp";
+std::string StampOf(std::string_view id);
 
 }  // namespace sassafrasbay::soak
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -57,8 +57,6 @@
 
 }  // namespace
 
-std::string StampOf(std::string_view id) { return "stamp-" + std::string(id); }
-
 Target::Target(ReactorLoop& loop, Ledger& ledger, std::mt19937_64& random, TargetOptions options)
     : loop_(loop),
       ledger_(ledger),
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -16,9 +16,6 @@
 
 namespace sassafrasbay::soak {
 
-inline constexpr std::string_view kStampHeader = "X-Server-Stamp";
-std::string StampOf(std::string_view id);
-
 struct TargetOptions {
   std::string service_;
   std::string host_;
@@ -32,10 +29,10 @@
 
 /// An upstream that speaks the platform's protocol: heartbeats, keys, drain and requests. It
 /// measures its grants with a slow clock and keeps to them.
-class Target {
+class Target final : public KeyHolder {
  public:
   Target(ReactorLoop& loop, Ledger& ledger, std::mt19937_64& random, TargetOptions options);
-  ~Target();
+  ~Target() override;
   Target(const Target&) = delete;
   Target& operator=(const Target&) = delete;
 
@@ -47,10 +44,12 @@
   void Drain();
   bool IsUp() const { return server_ != nullptr; }
 
-  const std::string& Instance() const { return instance_; }
-  bool Holds(int key) const;
-  BootTime HeldSince(int key) const { return keys_[static_cast<std::size_t>(key)].since_; }
-  BootTime LastRun(int key) const { return keys_[static_cast<std::size_t>(key)].last_run_; }
+  const std::string& Instance() const override { return instance_; }
+  bool Holds(int key) const override;
+  BootTime HeldSince(int key) const override { return keys_[static_cast<std::size_t>(key)].since_; }
+  BootTime LastRun(int key) const override {
+    return keys_[static_cast<std::size_t>(key)].last_run_;
+  }
 
  private:
   struct Key {
