--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -25,37 +25,12 @@
 /// Interval of decisions that no event triggers, such as the end of a wait.
 constexpr milliseconds kDecisionInterval{100};
 
-/// Calls of the store are paid for, and a long read of each node would be answered for each record.
-/// So a few nodes read for all. They confirm to the others that the tables are the newest, which
-/// grants depend on, and pass the configuration on; writers pass on what they write. The others
-/// read seldom, and when a report shows that they lack something.
-constexpr std::size_t kReaders = 3;
-/// A read that has gone silent is noticed after this and the store client's slack; a configuration
-/// has to be in force everywhere within 2 s.
-/// The pause joins the records of a busy time into one read; writers pass them on anyway.
-constexpr ReadPace kReaderPace{milliseconds(900), milliseconds(250)};
-constexpr milliseconds kOtherPause{5000};
-/// All together make ten such reads a second at most; 100 nodes read 800 times on a day of 40 s.
-constexpr milliseconds kOtherPausePerNode{100};
-/// A configuration shows in the reports of the readers.
-constexpr ReadPace kOtherConfigurationPace{milliseconds(0), milliseconds(20000)};
-/// Until its registration is read back, a node asks at this pace. With long reads each of n
-/// registrations at a start was answered to n nodes: 9240 calls on a day of 66 nodes.
-constexpr ReadPace kJoiningPace{milliseconds(0), milliseconds(400)};
-
 /// Requests reach an upstream that drains for this much less than the operators' bound.
 constexpr milliseconds kDrainMargin{500};
 
-/// A node that hasn't been heard of for this long is removed from the list. Its promises aren't
-/// needed any more, and nobody connects to it.
-constexpr milliseconds kRemoveAfter{8000};
-
 /// A configuration that a report shows is read at once: no writer passes it on.
 constexpr milliseconds kConfigurationLag{0};
 
-/// Nodes that haven't been heard of count as readers for this long after the own registration.
-constexpr milliseconds kFirstReports{2000};
-
 /// The tables count as read from the store when they were confirmed this recently by it.
 constexpr milliseconds kStoreFreshness{2000};
 
@@ -264,40 +239,6 @@
   ScheduleUpdate();
 }
 
-// Nodes that take this one for lost no longer ask for its promises, so it starts anew.
-void ControlThread::OnNodeRemoved(const std::string& address) {
-  members_.erase(address);
-  received_promises_.erase(address);
-  if (address == shared_.self_) {
-    registered_.reset();
-    registering_ = false;
-  }
-}
-
-// Appends that an earlier process of this node sent, and whose effect it never learnt, depend on
-// the end of the topic. The registration moves that end, so once it is read back none of them can
-// take effect any more.
-void ControlThread::Register() {
-  if (registered_ || registering_ || !fleet_topic_.IsCurrent() || !fleet_topic_.IsReached()) {
-    return;
-  }
-  registering_ = true;
-  const nlohmann::json value = {{"data_centre", shared_.environment_.data_centre_},
-                                {"life", life_}};
-  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_, value.dump()};
-  store_.Append(
-      kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
-        if (offset) {
-          OnWritten({offset.value(), record.key_, record.value_});
-          // Others that register at the same time come before it.
-          fleet_topic_.ReadNow();
-          return;
-        }
-        registering_ = false;
-        LogWarning(kPart, "registration not written reason=\"" + ToString(offset.error()) + "\".");
-      });
-}
-
 void ControlThread::OnTablesCurrent(BootTime asked) {
   ConfirmTables(asked);
   Register();
@@ -363,16 +304,6 @@
   fleet_topic_.SkipTo(state.tables_end_);
 }
 
-std::vector<std::string> ControlThread::OtherNodes() const {
-  std::vector<std::string> others;
-  for (const auto& [address, member] : members_) {
-    if (address != shared_.self_) {
-      others.push_back(address);
-    }
-  }
-  return others;
-}
-
 OwnershipView ControlThread::MakeView(const std::string& service) const {
   OwnershipView view;
   view.self_ = shared_.self_;
@@ -419,87 +350,6 @@
   return view;
 }
 
-// The nodes with the lowest addresses of those that reach the store.
-void ControlThread::ChooseReaders() {
-  const BootTime now = BootClock::now();
-  std::set<std::string> readers;
-  for (const auto& [address, member] : members_) {
-    const auto peer = peers_.find(address);
-    const bool is_unheard =
-        peer == peers_.end() && registered_ && now - *registered_ < kFirstReports;
-    const bool reaches = peer != peers_.end() && peer->second.report_.reaches_store_ &&
-                         now - peer->second.received_ < SuspicionTime();
-    if (address == shared_.self_ || is_unheard || reaches) {
-      readers.insert(address);
-    }
-    if (readers.size() == kReaders) {
-      break;
-    }
-  }
-  const bool changed = readers != readers_;
-  readers_ = std::move(readers);
-  const bool reads = readers_.contains(shared_.self_);
-  if (registered_) {
-    const milliseconds pause =
-        std::max(kOtherPause, kOtherPausePerNode * static_cast<milliseconds::rep>(members_.size()));
-    fleet_topic_.SetPace(reads ? kReaderPace : ReadPace{milliseconds(0), pause});
-    operator_topic_.SetPace(reads ? kReaderPace : kOtherConfigurationPace);
-  }
-  if (changed) {
-    std::string names;
-    for (const std::string& reader : readers_) {
-      names += (names.empty() ? "" : ",") + reader;
-    }
-    LogInfo(kPart, "readers=" + names + " nodes=" + std::to_string(members_.size()) + ".");
-    ScheduleUpdate();
-  }
-}
-
-// The reachable node with the lowest address removes those that are gone for good.
-void ControlThread::RemoveLostNode() {
-  const BootTime now = BootClock::now();
-  if (removing_ || !registered_ || !fleet_topic_.IsReached() || now - *registered_ < kRemoveAfter) {
-    return;
-  }
-  std::string lost;
-  std::size_t reachable = 1;
-  for (const auto& [address, member] : members_) {
-    if (address == shared_.self_) {
-      continue;
-    }
-    const auto peer = peers_.find(address);
-    const BootTime heard = peer == peers_.end() ? *registered_ : peer->second.received_;
-    if (now - heard < SuspicionTime()) {
-      ++reachable;
-      if (address < shared_.self_ && peer->second.report_.reaches_store_) {
-        return;
-      }
-    } else if (now - heard > kRemoveAfter && !OwnsKeys(address)) {
-      lost = address;
-    }
-  }
-  if (lost.empty() || reachable * 2 < members_.size()) {
-    return;
-  }
-  removing_ = true;
-  LogInfo(kPart, "node=" + lost + " is removed from the list; it hasn't been heard of.");
-  const KeyedRecord record{0, std::string(kNodePrefix) + lost, {}};
-  store_.Append(kFleetTopic, record, fleet_topic_.End(),
-                [this, record](const Result<std::uint64_t>& offset) {
-                  removing_ = false;
-                  if (offset) {
-                    OnWritten({offset.value(), record.key_, record.value_});
-                  }
-                });
-}
-
-bool ControlThread::OwnsKeys(const std::string& address) const {
-  return std::any_of(tables_.begin(), tables_.end(), [&](const auto& table) {
-    return std::any_of(table.second.ranges_.begin(), table.second.ranges_.end(),
-                       [&](const KeyRange& range) { return range.owner_.node_ == address; });
-  });
-}
-
 void ControlThread::Decide() {
   if (routes_ == nullptr || !registered_) {
     return;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -21,6 +21,10 @@
 
 namespace sassafrasbay {
 
+/// Until its registration is read back, a node asks at this pace. With long reads each of n
+/// registrations at a start was answered to n nodes: 9240 calls on a day of 66 nodes.
+inline constexpr ReadPace kJoiningPace{milliseconds(0), milliseconds(400)};
+
 /// Configuration, nodes, key ownership and the upstream's heartbeats.
 class ControlThread {
  public:
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -24,6 +24,12 @@
 
 namespace sassafrasbay {
 
+/// Gates that may refuse a request before its caller is told to come back. Each costs a hop.
+inline constexpr int kMostRefusals = 3;
+
+/// Time named to a caller whose key has no reachable owner.
+inline constexpr milliseconds kNoOwnerRetryAfter{300};
+
 /// Takes callers' requests, finds an upstream for each, and answers them once.
 class RequestRouter {
  public:
