--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -367,6 +367,7 @@
 /// The uses that a plan was made from, in percent, for the log.
 std::string UsesText(std::span<const UpstreamDemand> demand) {
   std::vector<int> uses;
+  uses.reserve(demand.size());
   for (const UpstreamDemand& upstream : demand) {
     uses.push_back(static_cast<int>(std::lround(UseOf(upstream) * 100)));
   }
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -143,7 +143,11 @@
 void TopicFollower::ReadAfter(milliseconds pause) {
   timer_ = loop_.StartTimer(pause, [this] {
     timer_ = 0;
-    current_ ? ReadOn(failures_ > 0 ? milliseconds(0) : pace_.wait_) : ReadNewest();
+    if (!current_) {
+      ReadNewest();
+      return;
+    }
+    ReadOn(failures_ > 0 ? milliseconds(0) : pace_.wait_);
   });
 }
 
