--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -358,6 +358,7 @@
     }
   }
   std::vector<UpstreamDemand> all;
+  all.reserve(demand.size());
   for (auto& [holder, upstream] : demand) {
     all.push_back(std::move(upstream));
   }
