--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -102,6 +102,7 @@
     }
   }
   std::vector<ServiceTime> reported;
+  reported.reserve(times.size());
   for (const auto& [request_class, time] : times) {
     reported.push_back({std::string(request_class), static_cast<std::uint32_t>(time)});
   }
