--- a/Tests/Soak/faults.cc
+++ b/Tests/Soak/faults.cc
@@ -63,7 +63,7 @@
 
 void Faults::Inject() {
   const std::size_t node = random_() % fleet_.Vms().size();
-  switch (random_() % 12) {
+  switch (random_() % 13) {
     case 0:
       Kill(node);
       break;
@@ -95,6 +95,9 @@
     case 10:
       ReplaceTarget(node);
       break;
+    case 11:
+      Isolate(node);
+      break;
     default:
       if (Chance(0.5)) {
         fleet_.WriteConfiguration();
@@ -205,6 +208,34 @@
        });
 }
 
+// Cuts a node from all others, both ways, and often from the store too. Its target and its callers
+// still reach it.
+void Faults::Isolate(std::size_t node) {
+  stand_ins::ProxyFaults cut;
+  cut.cut_to_target_ = cut.cut_from_target_ = true;
+  const pid_t process = fleet_.Vms()[node].process_->Id();
+  const bool from_store = Chance(0.7);
+  const auto set = [this, node, process, from_store](const stand_ins::ProxyFaults& wanted) {
+    fleet_.SetPeerFaults(node, 0, wanted);
+    if (from_store) {
+      fleet_.SetStoreFaults(node, wanted);
+    }
+    for (std::size_t other = 0; other < fleet_.Vms().size(); ++other) {
+      if (other != node) {
+        fleet_.SetPeerFaults(other, process, wanted);
+      }
+    }
+  };
+  set(cut);
+  Last("isolation of " + fleet_.Vms()[node].name_ + (from_store ? " and its store" : ""),
+       milliseconds(1000), kLongest, false, [this, set] {
+         set({});
+         for (Vm& other : fleet_.Vms()) {
+           other.disturbed_ = BootClock::now();
+         }
+       });
+}
+
 void Faults::HarmStore() {
   if (store_harmed_) {
     return;
--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -30,6 +30,7 @@
   void Terminate(std::size_t node);
   void AwaitEnd(std::size_t node, BootTime limit);
   void HarmLink(std::size_t node, bool store);
+  void Isolate(std::size_t node);
   void HarmStore();
   void CrashTarget(std::size_t node);
   void ReplaceTarget(std::size_t node);
--- a/Tests/Soak/ledger.cc
+++ b/Tests/Soak/ledger.cc
@@ -8,6 +8,9 @@
 /// Time after a disruption for which losses of answers are excused, as in the platform's rules.
 constexpr milliseconds kTouch{3000};
 
+/// Longest time for which two targets may hold a key, as in the platform's rules.
+constexpr milliseconds kLongestOverlap{500};
+
 constexpr int kOk = 200;
 
 bool IsPromise(int status) {
@@ -110,12 +113,33 @@
                         " with token " + std::to_string(token) + ", " + instance + " had " +
                         std::to_string(highest));
   }
+  for (const KeyHolder* other : targets_) {
+    if (other != &target && other->Holds(key) && !disturbed) {
+      overlaps_.push_back(
+          {key, &target, other, target.Instance(), other->Instance(), BootClock::now()});
+    }
+  }
   if (token >= highest) {
     highest = token;
     instance = target.Instance();
   }
 }
 
+void Ledger::CheckOverlaps(BootTime now) {
+  std::erase_if(overlaps_, [&](const Overlap& overlap) {
+    const bool both = overlap.taker_->Holds(overlap.key_) && overlap.holder_->Holds(overlap.key_) &&
+                      overlap.taker_->Instance() == overlap.taker_instance_ &&
+                      overlap.holder_->Instance() == overlap.holder_instance_;
+    const bool too_long = both && now - overlap.since_ > kLongestOverlap;
+    if (too_long) {
+      Report("OWNER", "key " + std::to_string(overlap.key_) + " is held by " +
+                          overlap.taker_instance_ + " and " + overlap.holder_instance_ +
+                          " for too long");
+    }
+    return too_long || !both;
+  });
+}
+
 void Ledger::OnLateArrival(const std::string& id, const KeyHolder& target) {
   if (open_disruptions_ == 0 && BootClock::now() - disrupted_ > kTouch) {
     Report("DRAIN", "request " + id + " reaches " + target.Instance() + " too late");
--- a/Tests/Soak/ledger.h
+++ b/Tests/Soak/ledger.h
@@ -45,6 +45,8 @@
   /// A target takes keys that it didn't hold with this token. `disturbed` when the grant's node was
   /// thawed or its links healed less than the platform's bound before.
   void OnTake(int key, std::uint64_t token, const KeyHolder& target, bool disturbed);
+  /// Looks for keys that two targets have held for too long. To be called at short intervals.
+  void CheckOverlaps(BootTime now);
   /// A request reaches a target that has been acknowledged as draining for longer than the bound.
   void OnLateArrival(const std::string& id, const KeyHolder& target);
 
@@ -61,6 +63,16 @@
   const std::vector<std::string>& Violations() const { return violations_; }
 
  private:
+  /// A key that a target took while another held it.
+  struct Overlap {
+    int key_ = 0;
+    const KeyHolder* taker_ = nullptr;
+    const KeyHolder* holder_ = nullptr;
+    std::string taker_instance_;
+    std::string holder_instance_;
+    BootTime since_{};
+  };
+
   struct Request {
     Kind kind_ = Kind::kLookup;
     int runs_ = 0;
@@ -74,6 +86,7 @@
   std::map<std::string, Request> requests_;
   std::map<int, std::uint64_t> answers_;  ///< Count by status; 0 for none.
   std::map<int, std::pair<std::uint64_t, std::string>> highest_token_;  ///< With its incarnation.
+  std::vector<Overlap> overlaps_;
   std::vector<std::string> violations_;
   BootTime disrupted_{};
   int open_disruptions_ = 0;
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -108,6 +108,8 @@
   for (Vm& vm : fleet_.Vms()) {
     loop_.StartRepeatingTimer(kRequestInterval, [this, &vm] { SendRequest(vm); });
   }
+  constexpr milliseconds kCheckInterval{50};
+  loop_.StartRepeatingTimer(kCheckInterval, [this] { ledger_.CheckOverlaps(BootClock::now()); });
   faults_.Start();
   loop_.StartTimer(std::chrono::seconds(options_.seconds_), [this] {
     faults_.Stop();
--- a/Tests/Soak/test_ledger.cc
+++ b/Tests/Soak/test_ledger.cc
@@ -116,6 +116,16 @@
   BOOST_TEST(Broken() == "OWNER");
 }
 
+BOOST_AUTO_TEST_CASE(TwoHoldersOfAKeyForTooLong) {
+  target_.key_ = other_.key_ = 7;
+  ledger_.OnTake(7, 5, target_, false);
+  const BootTime now = BootClock::now();
+  ledger_.CheckOverlaps(now + milliseconds(400));
+  BOOST_TEST(Broken().empty());
+  ledger_.CheckOverlaps(now + milliseconds(600));
+  BOOST_TEST(Broken() == "OWNER");
+}
+
 BOOST_AUTO_TEST_CASE(TwoHoldersOfAKeyThatBothServeIt) {
   target_.key_ = other_.key_ = 7;
   ledger_.OnSent("a", Kind::kLookup);
