--- a/Libraries/LibRouting/send_throttle.cc
+++ b/Libraries/LibRouting/send_throttle.cc
@@ -9,8 +9,8 @@
 /// Time constant of the decay. Keys move to other owners within one or two seconds.
 constexpr double kTimeConstantSeconds = 1.0;
 
-/// Requests sent for each one accepted. With 2 as in the usual form of this throttle, a node with a
-/// tenth of a core spent half of it on refusals.
+/// Requests sent for each one accepted. Less than the usual 2, since a refusal costs a node with a
+/// tenth of a core much; other values were not measured.
 constexpr double kSentPerAccepted = 1.5;
 
 /// Requests that are sent whatever became of the others, in each time constant. They show when the
