--- a/Libraries/LibOwnership/key_table.cc
+++ b/Libraries/LibOwnership/key_table.cc
@@ -76,11 +76,15 @@
       after.ranges_.push_back(range);
     }
   }
-  std::sort(after.ranges_.begin(), after.ranges_.end(),
-            [](const KeyRange& left, const KeyRange& right) { return left.first_ < right.first_; });
+  SortRanges(after);
   return after;
 }
 
+void SortRanges(KeyTable& table) {
+  std::sort(table.ranges_.begin(), table.ranges_.end(),
+            [](const KeyRange& left, const KeyRange& right) { return left.first_ < right.first_; });
+}
+
 void JoinNeighbours(KeyTable& table) {
   std::vector<KeyRange> joined;
   for (KeyRange& range : table.ranges_) {
--- a/Libraries/LibOwnership/key_table.h
+++ b/Libraries/LibOwnership/key_table.h
@@ -72,6 +72,9 @@
 /// The table that ChangedRanges was made from; nothing when `before` isn't the version before it.
 std::optional<KeyTable> ApplyChanges(const KeyTable& before, const KeyTable& changes);
 
+/// Puts the ranges into ascending order.
+void SortRanges(KeyTable& table);
+
 /// Joins neighbours that differ in their keys only.
 void JoinNeighbours(KeyTable& table);
 
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -397,7 +397,6 @@
   Decision decision =
       IfChanged(table, std::move(next), "balance of demand," + UsesText(demand) + moves);
   if (decision) {
-    decision->for_balance_ = true;
     decision->moves_ = planned;
   }
   return decision;
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -109,9 +109,8 @@
 
 struct OwnershipChange {
   KeyTable table_;
-  std::string reason_;  ///< For the log.
-  bool for_balance_ = false;
-  std::vector<PlannedMove> moves_;  ///< For balance.
+  std::string reason_;              ///< For the log.
+  std::vector<PlannedMove> moves_;  ///< For balance; empty for all other changes.
   bool is_release_ = false;
   /// Nodes that lose ranges without having released them.
   std::vector<std::string> taken_from_;
--- a/Libraries/LibOwnership/table_changes.cc
+++ b/Libraries/LibOwnership/table_changes.cc
@@ -73,11 +73,6 @@
   range.handover_ = std::move(handover);
 }
 
-void SortRanges(KeyTable& table) {
-  std::sort(table.ranges_.begin(), table.ranges_.end(),
-            [](const KeyRange& left, const KeyRange& right) { return left.first_ < right.first_; });
-}
-
 /// Replaces each range that `matches` by parts, one for each candidate that gets keys of it.
 template <typename Matches, typename Apply>
 void DivideRanges(KeyTable& table, std::span<const Candidate> candidates, Matches matches,
--- a/Services/sassafrasbay/router/ownership_keeper.cc
+++ b/Services/sassafrasbay/router/ownership_keeper.cc
@@ -48,7 +48,7 @@
                      " at=" + std::to_string(end) +
                      " nodes=" + std::to_string(view.reachable_nodes_) + "/" +
                      std::to_string(view.known_nodes_) + " change=\"" + change->reason_ + "\".");
-  if (change->for_balance_) {
+  if (!change->moves_.empty()) {
     last_balance_ = view.now_;
     for (const PlannedMove& move : change->moves_) {
       recent_moves_.push_back({move, view.now_});
