LibTransport: Bound every part of an upstream's response

Cause: an upstream in trouble may send bytes without end. Interim responses, chunk headers and trailers had no limit at all, a body only one of 64 MB for each of up to twelve slots, on VMs of 160 MB; a frame to another node with more than 8 MB was never accepted, so that such a response could not be delivered anyway. Change: the reader limits unparsed bytes (chunk headers, trailers) and the size as transferred, a response is limited to 7 MB, and all incomplete responses of a client to 32 MB, where the largest is given up first.

--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -18,6 +18,10 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
 constexpr unsigned kFirstFinalStatus = 200;
 
+/// Maximum size of a response as transferred, relative to the maximum size of its body. It ends a
+/// response that consists of interim responses or chunk extensions without end.
+constexpr std::size_t kMaxTransferRatio = 2;
+
 Error ParseError(const boost::system::error_code& error) {
   const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
   return MakeError(too_large ? Errc::kTooLarge : Errc::kMalformed, kOperation, {}, error.message());
@@ -36,6 +40,7 @@
   }
 
   std::size_t max_body_bytes_;
+  std::size_t received_bytes_ = 0;
   std::unique_ptr<Parser> parser_;
   std::string pending_;  ///< Unparsed bytes; the parser needs a header section as a whole.
 };
@@ -47,6 +52,10 @@
 ResponseReader& ResponseReader::operator=(ResponseReader&&) noexcept = default;
 
 Result<std::size_t> ResponseReader::Receive(std::string_view bytes) {
+  impl_->received_bytes_ += bytes.size();
+  if (impl_->received_bytes_ > kMaxTransferRatio * impl_->max_body_bytes_ + kMaxHeaderBytes) {
+    return MakeError(Errc::kTooLarge, kOperation, {}, "response exceeds the maximum size");
+  }
   const std::size_t previously_pending = impl_->pending_.size();
   impl_->pending_.append(bytes);
   std::size_t used = 0;
@@ -76,6 +85,10 @@
     return used - std::min(used, previously_pending);
   }
   impl_->pending_.erase(0, used);
+  // Beast limits the header section, but neither chunk headers nor trailers.
+  if (impl_->pending_.size() > kMaxHeaderBytes) {
+    return MakeError(Errc::kTooLarge, kOperation, {}, "chunk header or trailer is too large");
+  }
   return bytes.size();
 }
 
@@ -92,6 +105,10 @@
   return boost::outcome_v2::success();
 }
 
+std::size_t ResponseReader::BufferedBytes() const {
+  return impl_->pending_.size() + impl_->parser_->get().body().size();
+}
+
 bool ResponseReader::IsComplete() const { return impl_->parser_->is_done(); }
 
 bool ResponseReader::IsKeepAlive() const { return impl_->parser_->get().keep_alive(); }
--- a/Libraries/LibTransport/response_reader.h
+++ b/Libraries/LibTransport/response_reader.h
@@ -17,14 +17,17 @@
   ResponseReader(ResponseReader&&) noexcept;
   ResponseReader& operator=(ResponseReader&&) noexcept;
 
-  /// Parses received bytes and returns how many of them belong to this response. Errors:
-  /// kMalformed, kTooLarge.
+  /// Limits the body, the sections of headers, and all bytes together, so that a peer which sends
+  /// without end is detected in every part of a response. Parses received bytes and returns how
+  /// many of them belong to this response. Errors: kMalformed, kTooLarge.
   Result<std::size_t> Receive(std::string_view bytes);
 
   /// To be called when the peer has closed the connection. Completes a response without a declared
   /// length. Errors: kConnectionLost when the response is incomplete.
   Result<void> ReceiveEnd();
 
+  /// Memory that the response takes so far.
+  std::size_t BufferedBytes() const;
   bool IsComplete() const;
   bool IsKeepAlive() const;  ///< The connection may be reused.
 
--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -110,6 +110,9 @@
   void OnResponse(const ConnectionPointer& connection, bool extra_bytes);
   void Fail(const ConnectionPointer& connection, Error error, bool refused = false);
   void Finish(CallId id, UpstreamResult result);
+  std::size_t PartialBytes() const;
+  /// Frees the memory of the largest incomplete response.
+  void FailLargestResponse();
   void Close(const ConnectionPointer& connection);
   void CloseIdleConnections();
 
@@ -305,9 +308,34 @@
   }
   if (connection->reader_->IsComplete()) {
     OnResponse(connection, used.value() < bytes.size());
+  } else if (PartialBytes() > kMaxPartialResponseBytes) {
+    FailLargestResponse();
   }
 }
 
+void UpstreamClient::Impl::FailLargestResponse() {
+  ConnectionPointer largest;
+  for (const auto& [id, call] : calls_) {
+    if (call.connection_ != nullptr && call.connection_->reader_ &&
+        (largest == nullptr ||
+         call.connection_->reader_->BufferedBytes() > largest->reader_->BufferedBytes())) {
+      largest = call.connection_;
+    }
+  }
+  Fail(largest, MakeError(Errc::kTooLarge, "read from upstream", address_,
+                          "incomplete responses exceed the memory for them"));
+}
+
+std::size_t UpstreamClient::Impl::PartialBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [id, call] : calls_) {
+    if (call.connection_ != nullptr && call.connection_->reader_) {
+      bytes += call.connection_->reader_->BufferedBytes();
+    }
+  }
+  return bytes;
+}
+
 void UpstreamClient::Impl::OnResponse(const ConnectionPointer& connection, bool extra_bytes) {
   const CallId id = connection->call_;
   OpenCall& open = calls_.at(id);
@@ -399,6 +427,10 @@
   }
 }
 
-UpstreamClientCounts UpstreamClient::Counts() const { return impl_->counts_; }
+UpstreamClientCounts UpstreamClient::Counts() const {
+  UpstreamClientCounts counts = impl_->counts_;
+  counts.partial_bytes_ = impl_->PartialBytes();
+  return counts;
+}
 
 }  // namespace sassafrasbay
--- a/Libraries/LibTransport/upstream_client.h
+++ b/Libraries/LibTransport/upstream_client.h
@@ -13,6 +13,12 @@
 
 namespace sassafrasbay {
 
+/// Default limit of a response. A frame to another node that holds a larger one isn't accepted.
+inline constexpr std::size_t kMaxResponseBytes = 7U << 20U;
+
+/// Limit of all incomplete responses of a client together. The smallest VMs have 160 MB.
+inline constexpr std::size_t kMaxPartialResponseBytes = 32U << 20U;
+
 /// One request to an upstream and the options of the call.
 struct UpstreamCall {
   HttpRequest request_;
@@ -20,7 +26,7 @@
   /// Header whose value the upstream copies from the request to the response. A response without it
   /// or with a different value is rejected as kMalformed. Empty disables the check.
   std::string_view correlation_header_;
-  std::size_t max_response_bytes_ = 64U << 20U;
+  std::size_t max_response_bytes_ = kMaxResponseBytes;
 };
 
 /// Outcome of one call.
@@ -37,6 +43,7 @@
   std::uint64_t connections_opened_ = 0;
   std::uint64_t requests_on_reused_connections_ = 0;
   std::uint64_t unsolicited_data_ = 0;  ///< Times that data matched no request.
+  std::size_t partial_bytes_ = 0;       ///< Size of the incomplete responses, at present.
 };
 
 /// HTTP/1.1 client of one upstream at a time, with persistent connections. It sends each request at
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE UpstreamClient
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <optional>
@@ -38,6 +39,8 @@
   /// connection.
   std::function<std::optional<std::string>(int number, const std::string& id)> answer_;
   bool close_after_answer_ = false;
+  /// Bytes sent every millisecond after an answer until the client closes the connection.
+  std::size_t endless_bytes_ = 0;
   int requests_ = 0;
   int connections_ = 0;
 
@@ -69,9 +72,22 @@
     }
     if (!bytes || close_after_answer_) {
       Close(socket);
+    } else if (endless_bytes_ > 0) {
+      SendEndlessly(socket);
     }
   }
 
+  void SendEndlessly(int socket) {
+    loop_.StartTimer(milliseconds(1), [this, socket] {
+      if (std::find(sockets_.begin(), sockets_.end(), socket) == sockets_.end()) {
+        return;
+      }
+      const std::string bytes(endless_bytes_, 'x');
+      send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      SendEndlessly(socket);
+    });
+  }
+
   void Close(int socket) {
     loop_.Unwatch(socket);
     close(socket);
@@ -159,6 +175,48 @@
   BOOST_TEST(upstream_.connections_ == 2);
 }
 
+// Guards against a process that runs out of memory when all slots of an upstream send bytes without
+// end, and against a slow drip that keeps a request open beyond its timeout.
+BOOST_AUTO_TEST_CASE(EndlessResponsesEndWithinBounds) {
+  constexpr int kCalls = 12;
+  int ended = 0;
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\n" + std::string(100, 'x');
+  };
+  upstream_.endless_bytes_ = 1U << 20U;
+  std::size_t most = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    UpstreamCall call;
+    call.request_ = {"GET", "/", {{"Host", "h"}, {"Id", std::to_string(i)}}, {}};
+    call.timeout_ = milliseconds(2000);
+    call.correlation_header_ = "Id";
+    client_.Start(std::move(call), [&](UpstreamResult result) {
+      BOOST_TEST(!result.response_.has_value());
+      BOOST_TEST(result.maybe_sent_);
+      if (++ended == kCalls) {
+        loop_.Stop();
+      }
+    });
+  }
+  loop_.StartRepeatingTimer(milliseconds(1),
+                            [&] { most = std::max(most, client_.Counts().partial_bytes_); });
+  RunUntilStopped(loop_);
+  BOOST_TEST(ended == kCalls);
+  BOOST_TEST(most <= kMaxPartialResponseBytes);
+  BOOST_TEST(client_.Counts().partial_bytes_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowEndlessResponseEndsAtTheTimeout) {
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nx";
+  };
+  upstream_.endless_bytes_ = 1;
+  const UpstreamResult result = Call("GET", "1");
+  BOOST_REQUIRE(!result.response_.has_value());
+  BOOST_TEST((result.response_.error().code_ == make_error_code(Errc::kTimedOut)));
+  BOOST_TEST(client_.Counts().partial_bytes_ == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AMismatchedCorrelationHeaderIsAnError) {
   upstream_.answer_ = [](int, const std::string&) { return Ok("other", "a"); };
   const UpstreamResult result = Call("GET", "1");
@@ -252,6 +310,49 @@
   BOOST_TEST(reader.Receive(text + "xyz").value() == text.size());
 }
 
+// An upstream in trouble sends bytes until its caller closes the connection. Guards against reading
+// on without a limit in any part of a response.
+BOOST_AUTO_TEST_CASE(EndlessPartsOfAResponseAreTooLarge) {
+  constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+  constexpr std::size_t kPieceBytes = 64U << 10U;
+  constexpr std::size_t kMaxReceivedBytes = 4U << 20U;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string interim;
+  while (interim.size() < kPieceBytes) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  std::string headers;
+  while (headers.size() < kPieceBytes) {
+    headers += "Name: value\r\n";
+  }
+  std::string chunks;
+  while (chunks.size() < kPieceBytes) {
+    chunks += "1;" + std::string(1000, 'e') + "\r\nx\r\n";
+  }
+  const std::string piece(kPieceBytes, 'a');
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"HTTP/1.1 200 ", piece},
+      {"HTTP/1.1 200 OK\r\nName: ", piece},
+      {"HTTP/1.1 200 OK\r\n", headers},
+      {"HTTP/1.1 200 OK\r\n\r\n", piece},
+      {"", interim},
+      {chunked + "1;", piece},
+      {chunked, chunks},
+      {chunked + "0\r\n", headers},
+      {chunked + "0\r\nName: ", piece},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", piece}};
+  for (const auto& [start, repeated] : cases) {
+    ResponseReader reader(kMaxBodyBytes);
+    Result<std::size_t> taken = reader.Receive(start);
+    std::size_t received = start.size();
+    while (taken && !reader.IsComplete() && received < kMaxReceivedBytes) {
+      taken = reader.Receive(repeated);
+      received += repeated.size();
+    }
+    BOOST_TEST(!taken.has_value(), start + repeated.substr(0, 30));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ABodyOverTheLimitIsTooLarge) {
   ResponseReader reader(4);
   const Result<std::size_t> taken = reader.Receive(Ok("1", "abcdef"));
