router: Pace bulk responses to the VM's link and admit them by it

All of them were accepted and written at once, so calls with a deadline of 400 ms waited behind megabytes on the same link: deposit-pay failed for its calls (4,217 of 8,387) while it held slots that lookups call. Change: frames of 16 KB or more to peers are sent one after the other, at a rate that leaves the link a queue of 20 ms, and small frames overtake them (link_budget). The gate counts the expected bytes of bulk responses and refuses a request at once whose response the link can't carry in time (link_admission). The rate comes from the platform's settings.

--- a/Libraries/LibTransport/peer_connection.h
+++ b/Libraries/LibTransport/peer_connection.h
@@ -26,6 +26,8 @@
   std::size_t pending_frame_bytes_ = 0;
   std::string output_;
   std::size_t output_start_ = 0;
+  /// Offset in the output before which it belongs to a bulk frame; 0 without one.
+  std::size_t bulk_end_ = 0;
   ReactorLoop::TimerId open_timer_ = 0;
 };
 
--- a/Libraries/LibTransport/peer_network.cc
+++ b/Libraries/LibTransport/peer_network.cc
@@ -3,11 +3,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <deque>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "LibTransport/link_budget.h"
 #include "LibTransport/peer_connection.h"
 #include "LibTransport/tcp_socket.h"
 
@@ -21,20 +24,32 @@
 // treated like a lost one: Send returns false.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 constexpr std::size_t kReadBytes = 64U << 10U;
+// Maximum size of all bulk frames that wait for the link, in total.
+constexpr std::size_t kMaxPendingBulkBytes = 16U << 20U;
+// Delay between two writes of bulk data.
+constexpr milliseconds kBulkWriteInterval{10};
 constexpr int kMaxAcceptsPerIteration = 64;
 // Delay after an accept that failed because descriptors or memory are exhausted. The listening
 // socket stays readable in this state and would spin the loop.
 constexpr milliseconds kAcceptRetryDelay{100};
 
+/// A bulk frame that waits for the link.
+struct BulkFrame {
+  ConnectionId connection_ = 0;
+  std::string frame_;
+};
+
 class Network final : public PeerNetwork {
  public:
-  Network(ReactorLoop& loop, PeerEvents events, std::size_t max_frame_bytes, milliseconds timeout)
+  Network(ReactorLoop& loop, PeerEvents events, std::size_t max_frame_bytes, milliseconds timeout,
+          double link_bytes_per_second)
       : loop_(loop),
         events_(std::move(events)),
         max_frame_bytes_(max_frame_bytes),
         connect_timeout_(timeout),
         factory_(MakeWebsocketFactory(max_frame_bytes)),
-        read_buffer_(kReadBytes) {}
+        read_buffer_(kReadBytes),
+        link_{.bytes_per_second_ = link_bytes_per_second} {}
   ~Network() override;
   Network(const Network&) = delete;
   Network& operator=(const Network&) = delete;
@@ -42,6 +57,9 @@
   Result<void> Listen(int listener);
   ConnectionId Connect(std::string_view address) override;
   bool Send(ConnectionId id, std::string_view frame) override;
+  bool SendBulk(ConnectionId id, std::string_view frame) override;
+  std::size_t PendingBulkBytes() const override;
+  void CountOtherTraffic(std::size_t bytes) override;
   void Close(ConnectionId id) override;
   std::uint16_t Port() const override { return BoundPort(listener_); }
 
@@ -57,6 +75,8 @@
   void Read(const PeerConnectionPointer& connection);
   void ScheduleFlush(const PeerConnectionPointer& connection);
   bool Flush(const PeerConnectionPointer& connection);
+  void ContinueBulk();
+  void ScheduleBulk(milliseconds delay);
   void Release(const PeerConnectionPointer& connection);
   void Fail(const PeerConnectionPointer& connection, const Error& error);
   PeerConnectionPointer Find(ConnectionId id) const;
@@ -68,6 +88,11 @@
   std::shared_ptr<WebsocketFactory> factory_;  // Must outlive the sessions.
   std::unordered_map<ConnectionId, PeerConnectionPointer> connections_;
   std::vector<char> read_buffer_;
+  LinkBudget link_;
+  std::deque<BulkFrame> bulk_frames_;  // Waiting; the one being sent is in its connection's output.
+  std::size_t waiting_bulk_bytes_ = 0;
+  ConnectionId bulk_connection_ = 0;  // Sends a bulk frame; 0 when none is being sent.
+  ReactorLoop::TimerId bulk_timer_ = 0;
   ConnectionId last_id_ = 0;
   int listener_ = -1;
   ReactorLoop::TimerId accept_timer_ = 0;
@@ -77,6 +102,7 @@
 Network::~Network() {
   *alive_ = false;
   loop_.CancelTimer(accept_timer_);
+  loop_.CancelTimer(bulk_timer_);
   for (const auto& [id, connection] : std::exchange(connections_, {})) {
     Release(connection);
   }
@@ -275,13 +301,25 @@
 // Writes queued bytes to the socket. False when the connection has failed.
 bool Network::Flush(const PeerConnectionPointer& connection) {
   std::string& output = connection->output_;
+  bool waits_for_link = false;
   std::size_t& start = connection->output_start_;
   while (start < output.size()) {
-    const ssize_t count =
-        send(connection->socket_, output.data() + start, output.size() - start, MSG_NOSIGNAL);
+    std::size_t size = output.size() - start;
+    if (start < connection->bulk_end_) {
+      size = std::min(connection->bulk_end_ - start, BulkAllowance(link_, BootClock::now()));
+      if (size == 0) {
+        waits_for_link = true;
+        ScheduleBulk(kBulkWriteInterval);
+        break;
+      }
+    }
+    const ssize_t count = send(connection->socket_, output.data() + start, size, MSG_NOSIGNAL);
     if (count >= 0) {
       start += static_cast<std::size_t>(count);
+      CountSent(link_, static_cast<std::size_t>(count), BootClock::now());
     } else if (errno == EAGAIN) {
+      // A peer that reads slowly doesn't hold up the bulk frames of the others.
+      connection->bulk_end_ = 0;
       break;
     } else if (errno != EINTR) {
       Fail(connection, SystemError(errno, "send to peer", connection->address_));
@@ -291,9 +329,16 @@
   // Remove sent bytes only when they are at least half of the buffer, to limit copying.
   if (start * 2 >= output.size()) {
     output.erase(0, start);
+    connection->bulk_end_ -= std::min(connection->bulk_end_, start);
     start = 0;
   }
-  const bool wants_write = !output.empty();
+  if (bulk_connection_ == connection->id_ && start >= connection->bulk_end_) {
+    connection->bulk_end_ = 0;
+    bulk_connection_ = 0;
+    ScheduleBulk(milliseconds(0));
+  }
+  // The timer continues a bulk frame that waits for the link.
+  const bool wants_write = !output.empty() && !waits_for_link;
   if (wants_write != connection->wants_write_) {
     connection->wants_write_ = wants_write;
     Watch(connection);
@@ -301,6 +346,67 @@
   return true;
 }
 
+bool Network::SendBulk(ConnectionId id, std::string_view frame) {
+  if (Find(id) == nullptr || frame.size() > max_frame_bytes_ ||
+      PendingBulkBytes() + frame.size() > std::max(kMaxPendingBulkBytes, frame.size())) {
+    return false;
+  }
+  bulk_frames_.push_back({id, std::string(frame)});
+  waiting_bulk_bytes_ += frame.size();
+  ScheduleBulk(milliseconds(0));
+  return true;
+}
+
+std::size_t Network::PendingBulkBytes() const {
+  const PeerConnectionPointer sending = Find(bulk_connection_);
+  return waiting_bulk_bytes_ + (sending == nullptr || sending->bulk_end_ < sending->output_start_
+                                    ? 0
+                                    : sending->bulk_end_ - sending->output_start_);
+}
+
+void Network::CountOtherTraffic(std::size_t bytes) { CountSent(link_, bytes, BootClock::now()); }
+
+void Network::ScheduleBulk(milliseconds delay) {
+  if (bulk_timer_ != 0) {
+    return;
+  }
+  bulk_timer_ = loop_.StartTimer(delay, [this] {
+    bulk_timer_ = 0;
+    ContinueBulk();
+  });
+}
+
+// One frame at a time gets the whole link, so that the first ones arrive early instead of all late.
+void Network::ContinueBulk() {
+  if (const PeerConnectionPointer sending = Find(bulk_connection_)) {
+    Flush(sending);
+    return;
+  }
+  bulk_connection_ = 0;
+  while (!bulk_frames_.empty() && bulk_connection_ == 0) {
+    const BulkFrame next = std::move(bulk_frames_.front());
+    bulk_frames_.pop_front();
+    waiting_bulk_bytes_ -= next.frame_.size();
+    const PeerConnectionPointer connection = Find(next.connection_);
+    if (connection == nullptr) {
+      continue;
+    }
+    if (!connection->open_) {
+      connection->pending_frames_.push_back(next.frame_);
+      connection->pending_frame_bytes_ += next.frame_.size();
+      continue;
+    }
+    if (!connection->session_->Send(next.frame_)) {
+      Fail(connection, MakeError(Errc::kConnectionLost, "send to peer", connection->address_,
+                                 "session accepts no frames"));
+      continue;
+    }
+    bulk_connection_ = next.connection_;
+    connection->bulk_end_ = connection->output_.size();
+    Flush(connection);
+  }
+}
+
 void Network::Close(ConnectionId id) {
   const PeerConnectionPointer connection = Find(id);
   if (connection == nullptr) {
@@ -314,6 +420,9 @@
   if (!connection->closed_) {
     Release(connection);
   }
+  if (bulk_connection_ == id) {
+    ScheduleBulk(milliseconds(0));
+  }
 }
 
 // The session may be in use further up the call stack, so a posted task destroys it.
@@ -337,6 +446,9 @@
   }
   connections_.erase(connection->id_);
   Release(connection);
+  if (bulk_connection_ == connection->id_) {
+    ScheduleBulk(milliseconds(0));
+  }
   if (events_.on_closed_ && !connection->closed_locally_) {
     events_.on_closed_(connection->id_, error);
   }
@@ -367,6 +479,11 @@
   return *this;
 }
 
+PeerNetworkBuilder& PeerNetworkBuilder::LinkBytesPerSecond(double rate) {
+  link_bytes_per_second_ = rate;
+  return *this;
+}
+
 PeerNetworkBuilder& PeerNetworkBuilder::Events(PeerEvents events) {
   events_ = std::move(events);
   return *this;
@@ -374,7 +491,8 @@
 
 Result<std::unique_ptr<PeerNetwork>> PeerNetworkBuilder::Build() {
   SASSAFRASBAY_TRY(listener, OpenListenSocket(host_, port_));
-  auto network = std::make_unique<Network>(loop_, events_, max_frame_bytes_, connect_timeout_);
+  auto network = std::make_unique<Network>(loop_, events_, max_frame_bytes_, connect_timeout_,
+                                           link_bytes_per_second_);
   SASSAFRASBAY_TRY(network->Listen(listener));
   return std::unique_ptr<PeerNetwork>(std::move(network));
 }
--- a/Libraries/LibTransport/peer_network.h
+++ b/Libraries/LibTransport/peer_network.h
@@ -34,6 +34,16 @@
   /// frame is too large or the queue is full.
   virtual bool Send(ConnectionId connection, std::string_view frame) = 0;
 
+  /// Queues one frame behind all other bulk frames of this network. They are sent one after the
+  /// other at the rate of the link, and let the frames of Send overtake them. Results as of Send.
+  virtual bool SendBulk(ConnectionId connection, std::string_view frame) = 0;
+
+  /// Bytes of bulk frames that have not been written to a socket.
+  virtual std::size_t PendingBulkBytes() const = 0;
+
+  /// Counts bytes that this process sends over the same link by other connections.
+  virtual void CountOtherTraffic(std::size_t bytes) = 0;
+
   /// Closes a connection after sending as much of the queue as the socket accepts without blocking.
   /// on_closed_ is not called.
   virtual void Close(ConnectionId connection) = 0;
@@ -49,6 +59,8 @@
   PeerNetworkBuilder& MaxFrameBytes(std::size_t bytes);
   /// Timeout for connect and handshake, also of accepted connections.
   PeerNetworkBuilder& ConnectTimeout(milliseconds timeout);
+  /// Rate of the VM's outgoing link, which bulk frames don't exceed. 0, the default, is no limit.
+  PeerNetworkBuilder& LinkBytesPerSecond(double rate);
   PeerNetworkBuilder& Events(PeerEvents events);
   /// Starts listening. Errors: kInvalidArgument (host), system errors of the listening socket.
   Result<std::unique_ptr<PeerNetwork>> Build();
@@ -59,6 +71,7 @@
   std::uint16_t port_ = 0;
   std::size_t max_frame_bytes_ = 4U << 20U;
   milliseconds connect_timeout_{1000};
+  double link_bytes_per_second_ = 0;
   PeerEvents events_;
 };
 
--- a/Services/sassafrasbay/router/peer_links.cc
+++ b/Services/sassafrasbay/router/peer_links.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "LibCore/logging.h"
+#include "LibRouting/link_admission.h"
 
 namespace sassafrasbay {
 namespace {
@@ -29,6 +30,7 @@
                      .Listen(address.host_, address.port_)
                      .MaxFrameBytes(kMaxFrameBytes)
                      .ConnectTimeout(kConnectTimeout)
+                     .LinkBytesPerSecond(shared_.environment_.link_bytes_per_second_)
                      .Events(std::move(events))
                      .Build();
   if (!network) {
@@ -53,7 +55,9 @@
 }
 
 void PeerLinks::Reply(ConnectionId connection, const NodeMessage& message) {
-  if (!network_->Send(connection, EncodeNodeMessage(message))) {
+  const std::string frame = EncodeNodeMessage(message);
+  const bool is_bulk = frame.size() >= kBulkBytes;
+  if (!(is_bulk ? network_->SendBulk(connection, frame) : network_->Send(connection, frame))) {
     shared_.metrics_.Count("sassafrasbay_peer_replies_dropped_total");
   }
 }
--- a/Services/sassafrasbay/router/peer_links.h
+++ b/Services/sassafrasbay/router/peer_links.h
@@ -36,10 +36,15 @@
   /// connect has failed recently.
   ConnectionId Send(const std::string& address, const NodeMessage& message);
 
-  /// Sends on an existing connection, usually one that a peer opened. A message that can't be sent
-  /// is counted and dropped.
+  /// Sends on an existing connection, usually one that a peer opened. Large messages wait for each
+  /// other and are overtaken by small ones. A message that can't be sent is counted and dropped.
   void Reply(ConnectionId connection, const NodeMessage& message);
 
+  /// Bytes of large messages that wait for this VM's link.
+  std::size_t PendingBulkBytes() const { return network_->PendingBulkBytes(); }
+  /// Counts bytes that the link carries besides messages, such as responses to callers.
+  void CountOtherTraffic(std::size_t bytes) { network_->CountOtherTraffic(bytes); }
+
   /// Closes the connection to a node that has sent no report within the suspicion timeout, so that
   /// the next message opens a new one.
   void Reset(const std::string& address);
--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -269,6 +269,7 @@
   if (shutdown_deadline_) {
     response.headers_.emplace_back("Connection", "close");
   }
+  links_.CountOtherTraffic(response.body_.size());
   pending.exchange_->Respond(std::move(response));
 }
 
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -61,7 +61,8 @@
   hooks.on_incoming_closed_ = [this](ConnectionId connection) { OnIncomingClosed(connection); };
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
   gate_.SetHooks({[this] { control_.upstream_connection_refused_(); },
-                  [this](const Suspect& suspect) { Broadcast(suspect); }});
+                  [this](const Suspect& suspect) { Broadcast(suspect); },
+                  [this] { return links_.PendingBulkBytes(); }});
   const platform::NodeEnvironment& environment = shared_.environment_;
   auto callers = HttpServerBuilder(loop_)
                      .Listen(environment.callers_.host_, environment.callers_.port_)
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -47,7 +47,9 @@
 }  // namespace
 
 UpstreamGate::UpstreamGate(ReactorLoop& loop, RouterShared& shared)
-    : shared_(shared), client_(loop) {}
+    : shared_(shared), client_(loop) {
+  link_.bytes_per_second_ = shared_.environment_.link_bytes_per_second_;
+}
 
 void UpstreamGate::SetUpstream(const std::shared_ptr<const UpstreamState>& upstream) {
   if (upstream == nullptr) {
@@ -149,6 +151,22 @@
   return RefusalReason::kNone;
 }
 
+double UpstreamGate::CommittedLinkBytes() const {
+  double bytes = static_cast<double>(hooks_.pending_bulk_bytes_());
+  for (const auto& [number, open] : open_requests_) {
+    bytes += ExpectedBulkBytes(link_, open.request_.class_);
+  }
+  return bytes;
+}
+
+bool UpstreamGate::FitsLink(const ForwardedRequest& request) const {
+  const auto service = queue_.service_ms_.find(request.class_);
+  return sassafrasbay::FitsLink(
+      link_, request.class_, CommittedLinkBytes(),
+      {static_cast<double>(request.objective_ms_), static_cast<double>(request.remaining_ms_),
+       service == queue_.service_ms_.end() ? 0 : service->second});
+}
+
 bool UpstreamGate::OutlastsShutdown(const ForwardedRequest& request) const {
   const auto time = queue_.service_ms_.find(request.class_);
   if (!shutdown_deadline_ || time == queue_.service_ms_.end()) {
@@ -171,6 +189,7 @@
   if (request.shard_key_ && reason != RefusalReason::kNotOwner) {
     CountRequests(key_load_, *request.shard_key_, request.sampling_weight_);
   }
+  const bool fits_link = FitsLink(request);
   const milliseconds remaining(request.remaining_ms_);
   const SlotRequest slot{number, request.class_, request.rank_,
                          now + milliseconds(request.objective_ms_), now + remaining};
@@ -187,6 +206,12 @@
     Refuse(number, RefusalReason::kDeadline, milliseconds(0));
     return number;
   }
+  if (!fits_link) {
+    shared_.metrics_.Count("sassafrasbay_requests_beyond_link_total");
+    Refuse(number, RefusalReason::kFull,
+           milliseconds(std::llround(TransferMs(link_, CommittedLinkBytes()))));
+    return number;
+  }
   const SlotVerdict verdict = OfferRequest(queue_, slot, now);
   if (verdict.decision_ == SlotDecision::kRun) {
     SendToUpstream(number);
@@ -236,6 +261,7 @@
     if (verdict.executed_ && result.response_.value().status_ < kFirstServerError) {
       sample = service;
       last_sampled_[open.request_.class_] = BootClock::now();
+      RecordResponse(link_, open.request_.class_, result.response_.value().body_.size());
       ClearSuspect(suspects_, open.request_.fingerprint_);
     }
     answer.response_ = std::move(result.response_.value());
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -11,6 +11,7 @@
 
 #include "LibRouting/crash_suspects.h"
 #include "LibRouting/key_load.h"
+#include "LibRouting/link_admission.h"
 #include "LibRouting/node_messages.h"
 #include "LibRouting/slot_queue.h"
 #include "LibTransport/reactor_loop.h"
@@ -29,6 +30,8 @@
   struct Hooks {
     std::function<void()> on_connection_refused_;
     std::function<void(const Suspect&)> on_suspect_;  ///< For broadcast to other nodes.
+    /// Bytes of responses that wait for the link.
+    std::function<std::size_t()> pending_bulk_bytes_ = [] { return std::size_t{0}; };
   };
 
   UpstreamGate(ReactorLoop& loop, RouterShared& shared);
@@ -75,6 +78,10 @@
 
   RefusalReason CheckAdmission(const ForwardedRequest& request) const;
   bool IsGranted(ShardKey key) const;
+  /// Whether the link of this VM can carry the response in time.
+  bool FitsLink(const ForwardedRequest& request) const;
+  /// Bytes of bulk responses that are expected or wait for the link.
+  double CommittedLinkBytes() const;
   bool OutlastsShutdown(const ForwardedRequest& request) const;
   bool IsUsable() const;
   void SendToUpstream(RequestNumber number);
@@ -90,6 +97,7 @@
   UpstreamClient client_;
   std::shared_ptr<const UpstreamState> upstream_;
   SlotQueue queue_;
+  LinkLoad link_;
   KeyLoad key_load_;
   std::map<std::string, BootTime, std::less<>> last_sampled_;  ///< Newest sample of each class.
   double success_ratio_ = 1;  ///< Smoothed ratio of served to sent requests.
--- a/Tests/LibTransport/test_peer_network.cc
+++ b/Tests/LibTransport/test_peer_network.cc
@@ -15,7 +15,8 @@
 /// A PeerNetwork that records its events, with replaceable callbacks for frames and closed
 /// connections.
 struct PeerEndpoint {
-  explicit PeerEndpoint(ReactorLoop& loop, milliseconds timeout = milliseconds(1000)) {
+  explicit PeerEndpoint(ReactorLoop& loop, milliseconds timeout = milliseconds(1000),
+                        double link_bytes_per_second = 0) {
     PeerEvents events;
     events.on_open_ = [this](ConnectionId id) { opened_.push_back(id); };
     events.on_frame_ = [this](ConnectionId id, std::string_view frame) { on_frame_(id, frame); };
@@ -28,6 +29,7 @@
                      .Listen("127.0.0.1", 0)
                      .MaxFrameBytes(4U << 20U)
                      .ConnectTimeout(timeout)
+                     .LinkBytesPerSecond(link_bytes_per_second)
                      .Events(events)
                      .Build();
     BOOST_REQUIRE(built.has_value());
@@ -262,6 +264,77 @@
   BOOST_TEST(!client.network_->Send(id, "x"));
 }
 
+constexpr double kSlowLink = 4e6;  // bytes per second
+constexpr std::size_t kBulkFrameBytes = 400000;
+
+// Load: large responses saturate the link of a VM, which also carries calls with short deadlines.
+// Guards against small frames that wait for the bulk frames before them, of their own connection or
+// of another one, and against bulk frames in a different order.
+BOOST_AUTO_TEST_CASE(SmallFramesOvertakeBulkFrames) {
+  ReactorLoop loop;
+  PeerEndpoint server(loop, milliseconds(1000), kSlowLink);
+  PeerEndpoint client(loop);
+  std::vector<ConnectionId> accepted;
+  server.on_frame_ = [&](ConnectionId id, std::string_view) {
+    accepted.push_back(id);
+    if (accepted.size() < 2) {
+      return;
+    }
+    for (const char* name : {"1", "2", "3"}) {
+      BOOST_TEST(server.network_->SendBulk(accepted[0], name + MakePattern(kBulkFrameBytes)));
+    }
+    BOOST_TEST(server.network_->PendingBulkBytes() >= 3 * kBulkFrameBytes);
+    loop.StartTimer(milliseconds(20), [&] {
+      server.network_->Send(accepted[1], "other connection");
+      server.network_->Send(accepted[0], "same connection");
+    });
+  };
+  std::vector<std::string> order;
+  client.on_frame_ = [&](ConnectionId, std::string_view frame) {
+    order.emplace_back(frame.size() > kBulkFrameBytes ? frame.substr(0, 1) : frame);
+    if (order.size() == 5) {
+      loop.Stop();
+    }
+  };
+  client.network_->Send(client.network_->Connect(server.Address()), "first");
+  client.network_->Send(client.network_->Connect(server.Address()), "second");
+  RunUntilStopped(loop);
+  const std::vector<std::string> expected = {"other connection", "1", "same connection", "2", "3"};
+  BOOST_TEST(order == expected, boost::test_tools::per_element());
+  BOOST_TEST(server.network_->PendingBulkBytes() == 0U);
+}
+
+// Guards against bulk frames to all peers stopping when one peer doesn't read or has gone.
+BOOST_AUTO_TEST_CASE(StalledPeerDoesNotHoldUpBulkFramesToOthers) {
+  ReactorLoop loop;
+  PeerEndpoint server(loop, milliseconds(1000), 100 * kSlowLink);
+  PeerEndpoint client(loop);
+  std::vector<ConnectionId> accepted;
+  server.on_frame_ = [&](ConnectionId id, std::string_view) { accepted.push_back(id); };
+  const LoopbackSocket stalled(LoopbackSocket::ConnectTo(server.network_->Port()));
+  constexpr std::size_t kMinSizeOfALongFrame = 65536;
+  stalled.Send(Handshake() + MaskedFrame(kMinSizeOfALongFrame, MakePattern(kMinSizeOfALongFrame)));
+  const ConnectionId gone = client.network_->Connect(server.Address());
+  client.network_->Send(gone, "gone");
+  const ConnectionId reading = client.network_->Connect(server.Address());
+  client.network_->Send(reading, "reads");
+  std::size_t received = 0;
+  client.on_frame_ = [&](ConnectionId, std::string_view frame) {
+    received = frame.size();
+    loop.Stop();
+  };
+  loop.StartTimer(milliseconds(100), [&] {
+    BOOST_REQUIRE(accepted.size() == 3U);
+    client.network_->Close(gone);
+    const std::string large(4U << 20U, 'x');
+    for (const ConnectionId id : accepted) {
+      server.network_->SendBulk(id, large);
+    }
+  });
+  RunUntilStopped(loop);
+  BOOST_TEST(received == 4U << 20U);
+}
+
 // Guards against use of a session after its own frame callback has closed the connection.
 BOOST_AUTO_TEST_CASE(CloseInsideTheFrameCallback) {
   ReactorLoop loop;
--- a/Tests/platform/test_node_environment.cc
+++ b/Tests/platform/test_node_environment.cc
@@ -19,6 +19,8 @@
 outbound-addr = "10.1.0.8:8304"
 ready-addr = "10.1.0.8:8302"
 control-addr = "10.1.0.8:8306"
+[limits]
+link-mbps = 10.0
 [platform]
 addr = "10.200.1.7:8309"
 )";
@@ -34,6 +36,7 @@
   BOOST_TEST((environment.value().heartbeat_interval_ == milliseconds(870)));
   BOOST_TEST((environment.value().termination_grace_ == milliseconds(6000)));
   BOOST_TEST(environment.value().retry_slack_ == 62);
+  BOOST_TEST(environment.value().link_bytes_per_second_ == 1.25e6);
   BOOST_TEST((environment.value().max_grant_duration_ == milliseconds(10000)));
 }
 
@@ -47,6 +50,16 @@
   BOOST_TEST(environment.error().detail_.find("outbound-addr") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(LinkRateIsOptionalButChecked) {
+  std::string text(kSettings);
+  text.replace(text.find("10.0\n"), 4, "-1.0");
+  BOOST_TEST(!DecodeNodeEnvironment("node.toml", text).has_value());
+  text.erase(text.find("link-mbps"), 17);
+  const auto environment = DecodeNodeEnvironment("node.toml", text);
+  BOOST_REQUIRE(environment.has_value());
+  BOOST_TEST(environment.value().link_bytes_per_second_ == 0);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidTomlIsRejected) {
   BOOST_TEST(!DecodeNodeEnvironment("node.toml", "node = [").has_value());
 }
