router: Never report old key tables with the confirmation of newer ones

A report in between stated the old end with the new time; a receiver with the same old tables counted its grants from that time, although the change that it lacked may have named a successor.

--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -73,8 +73,6 @@
   }
 }
 
-std::int64_t ToNanoseconds(BootTime time) { return time.time_since_epoch().count(); }
-
 }  // namespace
 
 ControlThread::ControlThread(RouterShared& shared)
@@ -253,10 +251,11 @@
 }
 
 void ControlThread::ConfirmTables(BootTime since) {
-  const std::int64_t value = ToNanoseconds(since);
-  if (value > shared_.tables_confirmed_ns_) {
-    shared_.tables_confirmed_ns_ = value;
-  }
+  shared_.confirmations_.Confirm(fleet_topic_.End(), since);
+}
+
+BootTime ControlThread::TablesConfirmedSince() const {
+  return shared_.confirmations_.Since(fleet_topic_.End()).value_or(BootTime{});
 }
 
 // The report echoes this node's clock, so it was made after that time, whatever the network delay.
@@ -318,7 +317,7 @@
   view.self_ = shared_.self_;
   view.now_ = BootClock::now();
   view.started_ = started_;
-  const BootTime confirmed = FromNanoseconds(shared_.tables_confirmed_ns_);
+  const BootTime confirmed = TablesConfirmedSince();
   view.registered_ = registered_at_;
   view.newest_born_ms_ = registry_.newest_ ? registry_.newest_->born_ms_ : 0;
   view.reaches_store_ = registered_at_ && fleet_topic_.IsStoreReachable() &&
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -56,6 +56,8 @@
   void OnFleetRecord(const KeyedRecord& record);
   void OnTablesCurrent(BootTime requested_at);
   void ConfirmTables(BootTime since);
+  /// Latest time at which the known tables were the newest ones; the epoch if never.
+  BootTime TablesConfirmedSince() const;
   void OnReport(ReceivedReport received_report);
   void OnState(const StateTransfer& state);
   void OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange);
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -16,6 +16,7 @@
 #include "LibRouting/node_messages.h"
 #include "LibRouting/route_table.h"
 #include "platform/node_environment.h"
+#include "router/shared_confirmations.h"
 #include "router/shared_promises.h"
 
 namespace sassafrasbay {
@@ -61,15 +62,11 @@
   platform::NodeEnvironment environment_;
   std::string self_;  ///< Peer address of this node.
   Metrics metrics_;
-  /// Boot time in ns at which the tables were last confirmed to be the newest; 0 if never.
-  std::atomic<std::int64_t> tables_confirmed_ns_{0};
+  SharedConfirmations confirmations_;
   std::atomic<bool> reaches_store_{false};
   SharedPromises promises_;
 };
 
-/// Converts a boot time in ns, as in RouterShared, back to a time point.
-inline BootTime FromNanoseconds(std::int64_t value) { return BootTime(BootTime::duration(value)); }
-
 /// The report of another node with its time of receipt.
 struct ReceivedReport {
   NodeReport report_;
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -262,14 +262,11 @@
   if (snapshot_ == nullptr) {
     return report;
   }
-  // Read in this order, since the confirmation must not be newer than the snapshot's tables.
-  const std::int64_t confirmed = shared_.tables_confirmed_ns_;
   report.tables_end_ = snapshot_->tables_end_;
-  if (confirmed > 0) {
-    const BootTime since{BootTime::duration(confirmed)};
+  if (const auto since = shared_.confirmations_.Since(snapshot_->tables_end_)) {
     report.tables_known_ = true;
     report.tables_age_ms_ = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(BootClock::now() - since).count() + 1);
+        std::chrono::duration_cast<milliseconds>(BootClock::now() - *since).count() + 1);
   }
   report.configuration_version_ = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
   if (snapshot_->upstream_ != nullptr) {
