LibTransport: Skip late copies of an upstream's previous response

Cause: an upstream may send a second copy of a response late, on a connection that is in use again. The copy never reached another caller, since its id doesn't match, but it failed the request that had been written meanwhile; a binding one was answered 502 although its own response followed. Change: up to four complete responses with the id of the request before are skipped; the connection isn't kept then. Result: ALateCopyOfThePreviousResponseIsSkipped failed before (kMalformed for request 2) and passes; CopiesWithoutEndAreAnError bounds it.

--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -32,15 +32,21 @@
 /// Time after which a connection with unacknowledged data is considered lost (TCP_USER_TIMEOUT).
 constexpr milliseconds kUnacknowledgedDataTimeout{2000};
 
+/// Maximum number of repeated responses to an earlier request that are skipped for one request.
+constexpr int kMaxSkippedResponses = 4;
+
 struct Connection {
   int socket_ = -1;
   bool connecting_ = true;
   bool closed_ = false;
+  bool ended_ = false;               ///< The upstream sends nothing more.
   UpstreamClient::CallId call_ = 0;  ///< 0 while idle.
   std::string output_;
   std::size_t sent_ = 0;
   std::optional<ResponseReader> reader_;
   BootTime reuse_deadline_{};
+  std::string previous_correlation_value_;  ///< Of the request before; empty on a new connection.
+  int skipped_responses_ = 0;               ///< Repeated responses to the request before.
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -107,7 +113,8 @@
   bool Flush(const ConnectionPointer& connection);
   void Read(const ConnectionPointer& connection);
   void Receive(const ConnectionPointer& connection, std::string_view bytes);
-  void OnResponse(const ConnectionPointer& connection, bool extra_bytes);
+  void OnResponse(const ConnectionPointer& connection, std::string_view extra_bytes);
+  bool SkipsResponse(const ConnectionPointer& connection, const HttpResponse& response);
   void Fail(const ConnectionPointer& connection, Error error, bool refused = false);
   void Finish(CallId id, UpstreamResult result);
   std::size_t PartialBytes() const;
@@ -297,7 +304,8 @@
     Fail(connection, ended.error());
     return;
   }
-  OnResponse(connection, true);
+  connection->ended_ = true;
+  OnResponse(connection, {});
 }
 
 void UpstreamClient::Impl::Receive(const ConnectionPointer& connection, std::string_view bytes) {
@@ -307,7 +315,7 @@
     return;
   }
   if (connection->reader_->IsComplete()) {
-    OnResponse(connection, used.value() < bytes.size());
+    OnResponse(connection, bytes.substr(used.value()));
   } else if (PartialBytes() > kMaxPartialResponseBytes) {
     FailLargestResponse();
   }
@@ -336,12 +344,38 @@
   return bytes;
 }
 
-void UpstreamClient::Impl::OnResponse(const ConnectionPointer& connection, bool extra_bytes) {
+// An upstream may send a second copy of a response late, when the next request has been written
+// already. The response to that request follows the copy.
+bool UpstreamClient::Impl::SkipsResponse(const ConnectionPointer& connection,
+                                         const HttpResponse& response) {
+  const OpenCall& open = calls_.at(connection->call_);
+  const std::string_view value = FindHeader(response.headers_, open.call_.correlation_header_);
+  if (open.call_.correlation_header_.empty() || value.empty() ||
+      value == open.expected_correlation_value_ ||
+      value != connection->previous_correlation_value_ || connection->ended_ ||
+      connection->skipped_responses_ >= kMaxSkippedResponses) {
+    return false;
+  }
+  ++connection->skipped_responses_;
+  ++counts_.unsolicited_data_;
+  return true;
+}
+
+void UpstreamClient::Impl::OnResponse(const ConnectionPointer& connection,
+                                      std::string_view extra_bytes) {
   const CallId id = connection->call_;
   OpenCall& open = calls_.at(id);
-  const bool reusable = connection->reader_->IsKeepAlive() && !extra_bytes &&
+  const bool reusable = connection->reader_->IsKeepAlive() && extra_bytes.empty() &&
+                        !connection->ended_ && connection->skipped_responses_ == 0 &&
                         connection->sent_ == connection->output_.size();
   HttpResponse response = connection->reader_->TakeResponse();
+  if (SkipsResponse(connection, response)) {
+    connection->reader_.emplace(open.call_.max_response_bytes_);
+    if (!extra_bytes.empty()) {
+      Receive(connection, extra_bytes);
+    }
+    return;
+  }
   if (!open.call_.correlation_header_.empty() &&
       FindHeader(response.headers_, open.call_.correlation_header_) !=
           open.expected_correlation_value_) {
@@ -353,6 +387,7 @@
   connection->call_ = 0;
   connection->reader_.reset();
   if (reusable) {
+    connection->previous_correlation_value_ = open.expected_correlation_value_;
     connection->reuse_deadline_ = BootClock::now() + IdleTimeout(response);
     idle_connections_.push_back(connection);
   } else {
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -217,6 +217,36 @@
   BOOST_TEST(client_.Counts().partial_bytes_ == 0U);
 }
 
+// Guards against a request that fails, or gets another request's response, because the upstream
+// sent a second copy of the response before late, on the connection that is in use again.
+BOOST_AUTO_TEST_CASE(ALateCopyOfThePreviousResponseIsSkipped) {
+  upstream_.answer_ = [](int number, const std::string& id) {
+    return number == 2 ? Ok("1", "first") + Ok("1", "first") + Ok(id, "second") : Ok(id, "first");
+  };
+  BOOST_TEST(Call("POST", "1").response_.value().body_ == "first");
+  const UpstreamResult result = Call("POST", "2");
+  BOOST_REQUIRE(result.response_.has_value());
+  BOOST_TEST(result.response_.value().body_ == "second");
+  Call("POST", "3");
+  BOOST_TEST(upstream_.requests_ == 3);
+  BOOST_TEST(upstream_.connections_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(CopiesWithoutEndAreAnError) {
+  upstream_.answer_ = [](int number, const std::string& id) {
+    std::string bytes;
+    for (int i = 0; i < 100; ++i) {
+      bytes += Ok("1", "first");
+    }
+    return number == 1 ? Ok(id, "first") : bytes;
+  };
+  Call("POST", "1");
+  const UpstreamResult result = Call("POST", "2");
+  BOOST_REQUIRE(!result.response_.has_value());
+  BOOST_TEST((result.response_.error().code_ == make_error_code(Errc::kMalformed)));
+  BOOST_TEST(result.maybe_sent_);
+}
+
 BOOST_AUTO_TEST_CASE(AMismatchedCorrelationHeaderIsAnError) {
   upstream_.answer_ = [](int, const std::string&) { return Ok("other", "a"); };
   const UpstreamResult result = Call("GET", "1");
