router: Keep the link of a silent node until its answers have arrived

Cause: without a report for the suspicion timeout, the link to a node was closed. The node cancelled all requests that had come by it, and their senders started idempotent ones again elsewhere and gave binding ones up with 502, although the node may only have been slow or silent for a while. Change: such a link is replaced for new messages and closes when no answer is due on it any more (requests end at their deadlines).

--- a/Services/sassafrasbay/router/peer_links.cc
+++ b/Services/sassafrasbay/router/peer_links.cc
@@ -16,6 +16,9 @@
 /// Backoff before a closed connection is opened again, so that a dead node causes few connects.
 constexpr milliseconds kReconnectBackoff{100};
 
+/// Interval at which a replaced connection is checked for answers that are still due.
+constexpr milliseconds kAnswerCheckInterval{500};
+
 }  // namespace
 
 PeerLinks::PeerLinks(ReactorLoop& loop, RouterShared& shared) : loop_(loop), shared_(shared) {}
@@ -62,15 +65,34 @@
   }
 }
 
-void PeerLinks::Reset(const std::string& address) {
+void PeerLinks::Replace(const std::string& address) {
   const auto found = connection_by_address_.find(address);
   if (found == connection_by_address_.end()) {
     return;
   }
   const ConnectionId connection = found->second;
+  connection_by_address_.erase(found);
+  if (hooks_.awaits_answers_(connection)) {
+    shared_.metrics_.Count("sassafrasbay_peer_links_replaced_total");
+    LogInfo(kPart, "peer=" + address + " link=replaced reason=\"no report within the suspicion " +
+                       "timeout\"; answers are still due on the old one.");
+  }
+  CloseWhenAnswered(connection);
+}
+
+void PeerLinks::CloseWhenAnswered(ConnectionId connection) {
+  const auto found = address_by_connection_.find(connection);
+  if (found == address_by_connection_.end()) {
+    return;
+  }
+  if (hooks_.awaits_answers_(connection)) {
+    loop_.StartTimer(kAnswerCheckInterval, [this, connection] { CloseWhenAnswered(connection); });
+    return;
+  }
+  const Error error = MakeError(Errc::kTimedOut, "report of peer", found->second,
+                                "no report received within the suspicion timeout");
   network_->Close(connection);
-  OnClosed(connection, MakeError(Errc::kTimedOut, "report of peer", address,
-                                 "no report received within the suspicion timeout"));
+  OnClosed(connection, error);
 }
 
 void PeerLinks::OnFrame(ConnectionId connection, std::string_view frame) {
@@ -91,8 +113,11 @@
   }
   const std::string address = found->second;
   address_by_connection_.erase(found);
-  connection_by_address_.erase(address);
-  backoff_until_[address] = BootClock::now() + kReconnectBackoff;
+  const auto current = connection_by_address_.find(address);
+  if (current == connection_by_address_.end() || current->second == connection) {
+    connection_by_address_.erase(address);
+    backoff_until_[address] = BootClock::now() + kReconnectBackoff;
+  }
   shared_.metrics_.Count("sassafrasbay_peer_links_lost_total");
   LogInfo(kPart, "peer=" + address + " link=lost reason=\"" + ToString(error) + "\".");
   hooks_.on_outgoing_closed_(address, connection);
--- a/Services/sassafrasbay/router/peer_links.h
+++ b/Services/sassafrasbay/router/peer_links.h
@@ -24,6 +24,8 @@
     /// Called when a connection that this node opened has closed.
     std::function<void(const std::string& address, ConnectionId connection)> on_outgoing_closed_;
     std::function<void(ConnectionId connection)> on_incoming_closed_;  ///< Opened by a peer.
+    /// Whether answers are due on a connection that this node opened.
+    std::function<bool(ConnectionId connection)> awaits_answers_;
   };
 
   PeerLinks(ReactorLoop& loop, RouterShared& shared);
@@ -45,11 +47,14 @@
   /// Counts bytes that the link carries besides messages, such as responses to callers.
   void CountOtherTraffic(std::size_t bytes) { network_->CountOtherTraffic(bytes); }
 
-  /// Closes the connection to a node that has sent no report within the suspicion timeout, so that
-  /// the next message opens a new one.
-  void Reset(const std::string& address);
+  /// Makes the next message to a node open a new connection, because the node has sent no report
+  /// within the suspicion timeout. The present connection stays open until all answers that are due
+  /// on it have arrived or timed out: a node that is only slow goes on with their requests.
+  void Replace(const std::string& address);
 
  private:
+  /// Closes a replaced connection on which no answers are due any more.
+  void CloseWhenAnswered(ConnectionId connection);
   void OnFrame(ConnectionId connection, std::string_view frame);
   void OnClosed(ConnectionId connection, const Error& error);
 
--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -48,6 +48,12 @@
   HandleAnswer(number, std::move(answer));
 }
 
+bool RequestRouter::AwaitsAnswers(ConnectionId connection) const {
+  return std::any_of(pending_.begin(), pending_.end(), [connection](const auto& entry) {
+    return entry.second.location_ == Location::kPeer && entry.second.connection_ == connection;
+  });
+}
+
 void RequestRouter::OnLinkLost(const std::string& address, ConnectionId connection) {
   std::vector<std::uint64_t> lost;
   for (const auto& [number, pending] : pending_) {
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -52,6 +52,9 @@
   void OnAnswer(ConnectionId connection, ForwardedAnswer answer);
   void OnLinkLost(const std::string& address, ConnectionId connection);
 
+  /// Whether requests that were sent on the connection have no answer yet.
+  bool AwaitsAnswers(ConnectionId connection) const;
+
   bool IsIdle() const { return pending_.empty(); }
 
  private:
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -59,6 +59,9 @@
     router_.OnLinkLost(address, connection);
   };
   hooks.on_incoming_closed_ = [this](ConnectionId connection) { OnIncomingClosed(connection); };
+  hooks.awaits_answers_ = [this](ConnectionId connection) {
+    return router_.AwaitsAnswers(connection);
+  };
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
   gate_.SetHooks({[this] { control_.upstream_connection_refused_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); },
@@ -318,7 +321,7 @@
   // A connection can fail without an error; a new one shows whether the node is alive.
   if (last_report != reports_.end() &&
       now - last_report->second.received_at_ > SuspicionTimeout(NodeCount())) {
-    links_.Reset(address);
+    links_.Replace(address);
   }
   // A promise to a node that may be lost would only delay the takeover of its keys.
   const bool is_alive = last_report != reports_.end() &&
