router: Apply table changes in place, share unchanged records, visit no idle connections

The HTTP server keeps the deadlines of its connections itself and checks them twice a second. The choice of an upstream reads the clock once instead of once a candidate.

--- /dev/null
+++ b/Libraries/LibOwnership/fleet_records.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "LibOwnership/key_table.h"
+
+namespace sassafrasbay {
+
+/// Keys of the records in the topic of the system: prefix and service, or prefix and peer address.
+inline constexpr std::string_view kTablePrefix = "table/";
+inline constexpr std::string_view kNodePrefix = "node/";
+
+/// Newest records of the topic of the system. Copies are cheap and share what hasn't changed.
+struct FleetRecords {
+  std::map<std::string, std::shared_ptr<const KeyTable>, std::less<>> tables_;  ///< By service.
+  /// Registrations as written, by key; never null.
+  std::shared_ptr<const std::map<std::string, std::string>> node_records_ =
+      std::make_shared<const std::map<std::string, std::string>>();
+};
+
+/// Null when no table of the service is known.
+const KeyTable* FindTable(const FleetRecords& records, std::string_view service);
+
+void SetTable(FleetRecords& records, KeyTable table);
+
+/// An empty value removes the record.
+void SetNodeRecord(FleetRecords& records, const std::string& key, const std::string& value);
+
+/// Keys and values of all records, as written to the topic. Tables of version 0, which haven't been
+/// written, are left out.
+std::vector<std::pair<std::string, std::string>> EncodeRecords(const FleetRecords& records);
+
+}  // namespace sassafrasbay
--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <charconv>
 #include <chrono>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -19,9 +20,14 @@
 
 // Limit of the request line and all headers; libmicrohttpd answers 431 above it.
 constexpr std::size_t kConnectionMemoryBytes = 32U << 10U;
-// Inactivity timeout while a request is received. Frees connections of callers that disappeared in
-// the middle of a request. Does not apply to suspended connections.
-constexpr unsigned kReceiveTimeoutSeconds = 120;
+// Inactivity timeout while the body of a request is received or a response is sent. Frees
+// connections of callers that disappeared meanwhile. Does not apply to suspended connections.
+constexpr milliseconds kTransferTimeout{120000};
+// Interval at which expired connections are closed.
+constexpr milliseconds kExpiryInterval{500};
+// Value of MHD_OPTION_CONNECTION_TIMEOUT for none. libmicrohttpd visits all connections that have a
+// timeout of their own in each run, so the timeouts are kept here.
+constexpr unsigned kNoTimeout = 0;
 // libmicrohttpd can't respond in the middle of a body, so the rest of an oversize chunked body is
 // read and discarded. Above this multiple of the body limit, the connection is closed instead.
 constexpr std::size_t kMaxDiscardRatio = 4;
@@ -46,7 +52,8 @@
 
   MHD_Result OnAccess(const ExchangeStatePointer& exchange, MHD_Connection* connection,
                       const char* method, std::string_view upload, size_t* upload_size);
-  void OnConnected(MHD_Connection* connection) const;
+  void OnConnected(MHD_Connection* connection);
+  void OnDisconnected(MHD_Connection* connection) { deadlines_.erase(connection); }
   void OnCompleted(ExchangeState& exchange);
   void Resume(ExchangeState& exchange) override;
 
@@ -56,6 +63,8 @@
   MHD_Result Dispatch(const ExchangeStatePointer& exchange);
   MHD_Result SendResponse(ExchangeState& exchange);
   MHD_Result Reject(ExchangeState& exchange, int status);
+  void SetTimeout(MHD_Connection* connection, milliseconds timeout);
+  void CloseExpiredConnections();
   void WatchForDisconnect(const ExchangeStatePointer& exchange);
   void CheckForDisconnect(const ExchangeStatePointer& exchange, int socket);
   void RunDaemon();
@@ -71,18 +80,14 @@
   bool accepting_ = true;
   std::size_t open_exchanges_ = 0;
   std::unordered_set<ExchangeState*> suspended_;
+  std::unordered_map<MHD_Connection*, BootTime> deadlines_;  // Of all that aren't suspended.
+  ReactorLoop::TimerId expiry_timer_ = 0;
   bool run_posted_ = false;
   ReactorLoop::TimerId timer_ = 0;
   BootTime timer_expiry_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
 };
 
-void SetTimeout(MHD_Connection* connection, milliseconds timeout) {
-  const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeout).count();
-  MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                            static_cast<unsigned>(std::max<decltype(seconds)>(1, seconds)));
-}
-
 int GetSocket(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -122,6 +127,8 @@
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
     SetNoDelay(GetSocket(connection));
     static_cast<Server*>(server)->OnConnected(connection);
+  } else {
+    static_cast<Server*>(server)->OnDisconnected(connection);
   }
 }
 
@@ -131,14 +138,15 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &sassafrasbay::OnAccess, this,
       MHD_OPTION_LISTEN_SOCKET, listen_socket, MHD_OPTION_CONNECTION_LIMIT, max_connections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
-      kReceiveTimeoutSeconds, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, this,
-      MHD_OPTION_NOTIFY_COMPLETED, &sassafrasbay::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
-      &OnConnection, this, MHD_OPTION_END);
+      kNoTimeout, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, this, MHD_OPTION_NOTIFY_COMPLETED,
+      &sassafrasbay::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, this,
+      MHD_OPTION_END);
   if (daemon_ == nullptr) {
     const int number = errno;
     close(listen_socket);
     return SystemError(number, "start HTTP server", std::to_string(port_));
   }
+  expiry_timer_ = loop_.StartRepeatingTimer(kExpiryInterval, [this] { CloseExpiredConnections(); });
   epoll_descriptor_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   return loop_.Watch(epoll_descriptor_, static_cast<unsigned>(Readiness::kRead),
                      [this](unsigned) { RunDaemon(); });
@@ -147,6 +155,7 @@
 Server::~Server() {
   *alive_ = false;
   loop_.CancelTimer(timer_);
+  loop_.CancelTimer(expiry_timer_);
   if (daemon_ == nullptr) {
     return;
   }
@@ -193,7 +202,7 @@
   exchange.started_ = true;
   exchange.request_.method_ = method;
   exchange.request_.headers_ = ReadHeaders(exchange.connection_);
-  SetTimeout(exchange.connection_, std::chrono::seconds(kReceiveTimeoutSeconds));
+  SetTimeout(exchange.connection_, kTransferTimeout);
   std::size_t header_bytes = 0;
   for (const auto& [name, value] : exchange.request_.headers_) {
     header_bytes += name.size() + value.size();
@@ -214,6 +223,7 @@
 MHD_Result Server::ReceiveBody(ExchangeState& exchange, std::string_view upload,
                                size_t* upload_size) {
   *upload_size = 0;
+  SetTimeout(exchange.connection_, kTransferTimeout);
   exchange.received_bytes_ += upload.size();
   if (exchange.received_bytes_ <= limits_.max_body_bytes_) {
     exchange.request_.body_.append(upload);
@@ -235,6 +245,7 @@
     return SendResponse(*exchange);
   }
   exchange->suspended_ = true;
+  deadlines_.erase(exchange->connection_);
   suspended_.insert(exchange.get());
   MHD_suspend_connection(exchange->connection_);
   WatchForDisconnect(exchange);
@@ -242,6 +253,7 @@
 }
 
 MHD_Result Server::SendResponse(ExchangeState& exchange) {
+  SetTimeout(exchange.connection_, kTransferTimeout);
   const int status = exchange.response_.status_;
   const bool valid = status >= MHD_HTTP_OK && status < 600;
   MHD_Response* response = MakeResponse(exchange.response_);
@@ -262,10 +274,26 @@
   return SendResponse(exchange);
 }
 
-void Server::OnConnected(MHD_Connection* connection) const {
+void Server::OnConnected(MHD_Connection* connection) {
   SetTimeout(connection, limits_.header_timeout_);
 }
 
+void Server::SetTimeout(MHD_Connection* connection, milliseconds timeout) {
+  deadlines_[connection] = BootClock::now() + timeout;
+}
+
+// libmicrohttpd notices the end of the stream and closes the connection.
+void Server::CloseExpiredConnections() {
+  const BootTime now = BootClock::now();
+  std::erase_if(deadlines_, [now](const auto& entry) {
+    if (now < entry.second) {
+      return false;
+    }
+    shutdown(GetSocket(entry.first), SHUT_RDWR);
+    return true;
+  });
+}
+
 void Server::OnCompleted(ExchangeState& exchange) {
   SetTimeout(exchange.connection_, limits_.idle_timeout_);
   if (exchange.dispatched_) {
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -91,8 +91,7 @@
   if (!registry_.newest_) {
     return nullptr;
   }
-  const auto table = tables_.find(registry_.newest_->service_);
-  return table == tables_.end() ? nullptr : &table->second;
+  return FindTable(records_, registry_.newest_->service_);
 }
 
 bool ControlThread::ShouldDelayAnswer() const {
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -167,8 +167,8 @@
 }
 
 bool ControlThread::OwnsKeys(const std::string& address) const {
-  return std::any_of(tables_.begin(), tables_.end(), [&](const auto& table) {
-    return std::any_of(table.second.ranges_.begin(), table.second.ranges_.end(),
+  return std::any_of(records_.tables_.begin(), records_.tables_.end(), [&](const auto& table) {
+    return std::any_of(table.second->ranges_.begin(), table.second->ranges_.end(),
                        [&](const KeyRange& range) { return range.owner_.node_ == address; });
   });
 }
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -167,7 +167,7 @@
                      " source=" + std::string(source) + " is in force.");
   LogRoutes(routes.value());
   routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
-  configuration_text_ = text;
+  configuration_text_ = std::make_shared<const std::string>(text);
   ScheduleUpdate();
 }
 
@@ -175,9 +175,9 @@
   TableRecord message{record.offset_, record.key_, record.value_};
   if (record.key_.starts_with(kTablePrefix)) {
     const Result<KeyTable> table = DecodeKeyTable(record.value_);
-    const auto known = table ? tables_.find(table.value().service_) : tables_.end();
-    if (known != tables_.end() && known->second.version_ + 1 == table.value().version_) {
-      message.value_ = EncodeKeyTable(ChangedRanges(known->second, table.value()));
+    const KeyTable* known = table ? FindTable(records_, table.value().service_) : nullptr;
+    if (known != nullptr && known->version_ + 1 == table.value().version_) {
+      message.value_ = EncodeKeyTable(ChangedRanges(*known, table.value()));
       message.changes_only_ = true;
     }
   }
@@ -188,59 +188,68 @@
 // A record that doesn't continue the known records is dropped; the next reports show that it is
 // missing, and it is read from the store.
 void ControlThread::OnPeerRecord(const TableRecord& message) {
-  KeyedRecord record{message.offset_, message.key_, message.value_};
-  if (message.changes_only_) {
-    const Result<KeyTable> changes = DecodeKeyTable(message.value_);
-    if (!changes) {
-      LogWarning(kPart, "key table changes from a peer ignored reason=\"" +
-                            ToString(changes.error()) + "\".");
-      return;
-    }
-    const auto known = tables_.find(changes.value().service_);
-    const auto table =
-        known == tables_.end() ? std::nullopt : ApplyChanges(known->second, changes.value());
-    if (!table) {
-      return;
-    }
-    record.value_ = EncodeKeyTable(*table);
+  if (!message.changes_only_) {
+    fleet_topic_.Push({message.offset_, message.key_, message.value_});
+    return;
+  }
+  const Result<KeyTable> changes = DecodeKeyTable(message.value_);
+  if (!changes) {
+    LogWarning(kPart, "key table changes from a peer ignored reason=\"" +
+                          ToString(changes.error()) + "\".");
+    return;
+  }
+  const KeyTable* known = FindTable(records_, changes.value().service_);
+  auto table = known == nullptr ? std::nullopt : ApplyChanges(*known, changes.value());
+  if (table && fleet_topic_.Advance(message.offset_)) {
+    ApplyTable(std::move(*table));
   }
-  fleet_topic_.Push(record);
 }
 
 void ControlThread::OnFleetRecord(const KeyedRecord& record) {
+  if (record.key_.starts_with(kNodePrefix)) {
+    OnNodeRecord(record);
+    return;
+  }
+  // Tables are replaced, never removed.
+  if (!record.key_.starts_with(kTablePrefix) || record.value_.empty()) {
+    return;
+  }
+  auto table = DecodeKeyTable(record.value_);
+  if (!table) {
+    LogWarning(kPart, "key table ignored reason=\"" + ToString(table.error()) + "\".");
+    return;
+  }
+  ApplyTable(std::move(table.value()));
+}
+
+void ControlThread::ApplyTable(KeyTable table) {
+  const KeyTable* known = FindTable(records_, table.service_);
+  if (known != nullptr && table.version_ <= known->version_) {
+    return;
+  }
+  key_table_writer_.OnTableChanged(known == nullptr ? KeyTable{} : *known, table, BootClock::now());
+  SetTable(records_, std::move(table));
+  ScheduleUpdate();
+}
+
+void ControlThread::OnNodeRecord(const KeyedRecord& record) {
+  const std::string address = record.key_.substr(kNodePrefix.size());
   if (record.value_.empty()) {
-    records_.erase(record.key_);
-    if (record.key_.starts_with(kNodePrefix)) {
-      OnNodeRemoved(record.key_.substr(kNodePrefix.size()));
-    }
+    SetNodeRecord(records_, record.key_, {});
+    OnNodeRemoved(address);
     ScheduleUpdate();
     return;
   }
-  if (record.key_.starts_with(kTablePrefix)) {
-    auto table = DecodeKeyTable(record.value_);
-    if (!table) {
-      LogWarning(kPart, "key table ignored reason=\"" + ToString(table.error()) + "\".");
-      return;
-    }
-    KeyTable& known = tables_[table.value().service_];
-    if (table.value().version_ <= known.version_) {
-      return;
-    }
-    key_table_writer_.OnTableChanged(known, table.value(), BootClock::now());
-    known = std::move(table.value());
-  } else if (record.key_.starts_with(kNodePrefix)) {
-    const nlohmann::json value = nlohmann::json::parse(record.value_, nullptr, false);
-    if (!value.is_object() || !value.contains("data_centre") || !value.contains("life")) {
-      LogWarning(kPart, "node record without data_centre or life ignored key=" + record.key_ + ".");
-      return;
-    }
-    const std::string address = record.key_.substr(kNodePrefix.size());
-    if (address == shared_.self_ && value["life"] == incarnation_id_ && !registered_at_) {
-      registered_at_ = BootClock::now();
-    }
-    members_[address] = {address, value["data_centre"].get<std::string>()};
+  const nlohmann::json value = nlohmann::json::parse(record.value_, nullptr, false);
+  if (!value.is_object() || !value.contains("data_centre") || !value.contains("life")) {
+    LogWarning(kPart, "node record without data_centre or life ignored key=" + record.key_ + ".");
+    return;
+  }
+  if (address == shared_.self_ && value["life"] == incarnation_id_ && !registered_at_) {
+    registered_at_ = BootClock::now();
   }
-  records_[record.key_] = record.value_;
+  members_[address] = {address, value["data_centre"].get<std::string>()};
+  SetNodeRecord(records_, record.key_, record.value_);
   ScheduleUpdate();
 }
 
@@ -366,9 +375,10 @@
     if (!service.sharded_) {
       continue;
     }
-    KeyTable& table = tables_[name];
-    table.service_ = name;
-    key_table_writer_.Decide(table, fleet_topic_.End(), MakeView(name));
+    if (FindTable(records_, name) == nullptr) {
+      SetTable(records_, {name, 0, {}});
+    }
+    key_table_writer_.Decide(*FindTable(records_, name), fleet_topic_.End(), MakeView(name));
   }
 }
 
@@ -389,11 +399,10 @@
   auto snapshot = std::make_shared<RouterSnapshot>();
   snapshot->routes_ = routes_;
   snapshot->configuration_text_ = configuration_text_;
-  snapshot->tables_ = std::make_shared<const std::map<std::string, KeyTable>>(tables_);
+  snapshot->records_ = records_;
   snapshot->tables_end_ = fleet_topic_.End();
   snapshot->registered_ = registered_at_.has_value();
   snapshot->readers_ = readers_;
-  snapshot->records_.assign(records_.begin(), records_.end());
   for (const auto& [address, member] : members_) {
     if (address != shared_.self_) {
       snapshot->members_.push_back(member);
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -54,6 +54,9 @@
   void OnOperatorRecord(const KeyedRecord& record);
   void ApplyConfiguration(std::string_view text, std::string_view source);
   void OnFleetRecord(const KeyedRecord& record);
+  void OnNodeRecord(const KeyedRecord& record);
+  /// Replaces the known table of the service by a newer one.
+  void ApplyTable(KeyTable table);
   void OnTablesCurrent(BootTime requested_at);
   void ConfirmTables(BootTime since);
   /// Latest time at which the known tables were the newest ones; the epoch if never.
@@ -102,10 +105,9 @@
   bool registration_pending_ = false;
   BootTime started_{};
   std::shared_ptr<const RouteTable> routes_;
-  std::string configuration_text_;
-  std::map<std::string, KeyTable> tables_;
-  std::map<std::string, Member> members_;  ///< By peer address.
-  std::map<std::string, std::string> records_;
+  std::shared_ptr<const std::string> configuration_text_;
+  FleetRecords records_;
+  std::map<std::string, Member> members_;        ///< By peer address.
   std::map<std::string, ReceivedReport> peers_;  ///< Newest report by peer address.
   /// Newest demand report and its time of receipt, by peer address.
   std::map<std::string, std::pair<DemandReport, BootTime>> demand_;
--- a/Services/sassafrasbay/router/key_table_writer.h
+++ b/Services/sassafrasbay/router/key_table_writer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibControl/record_store.h"
+#include "LibOwnership/fleet_records.h"
 #include "LibOwnership/ownership_decision.h"
 #include "router/shared_promises.h"
 
@@ -14,8 +15,6 @@
 
 /// Topic with the registrations of nodes and the key tables.
 inline constexpr std::string_view kFleetTopic = "keyed.fleet";
-inline constexpr std::string_view kTablePrefix = "table/";
-inline constexpr std::string_view kNodePrefix = "node/";
 
 /// Decides on changes of the key tables and appends them to the store, one at a time.
 class KeyTableWriter {
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -152,16 +152,18 @@
 }
 
 std::string RequestRouter::FindOwnerNode(const Pending& pending) const {
-  const auto table = snapshot_->tables_->find(pending.service_);
-  if (table == snapshot_->tables_->end()) {
+  const KeyTable* table = FindTable(snapshot_->records_, pending.service_);
+  if (table == nullptr) {
     return {};
   }
-  const KeyRange* range = FindRange(table->second, *pending.request_.shard_key_);
+  const KeyRange* range = FindRange(*table, *pending.request_.shard_key_);
   return range == nullptr ? std::string() : range->owner_.node_;
 }
 
 std::vector<UpstreamCandidate> RequestRouter::FindCandidates(const Pending& pending) const {
   std::vector<UpstreamCandidate> candidates;
+  candidates.reserve(peers_.size() + 1);
+  const BootTime alive_since = BootClock::now() - SuspicionTimeout(snapshot_->members_.size() + 1);
   const GateLoad own = gate_.Load();
   if (own.slots_ > 0 && snapshot_->upstream_ != nullptr &&
       snapshot_->upstream_->service_ == pending.service_ &&
@@ -172,7 +174,8 @@
   for (const auto& [address, peer] : peers_) {
     const NodeReport& report = peer.latest_report_.report_;
     if (report.upstream_.service_ != pending.service_ || peer.load_.slots_ == 0 ||
-        report.leaving_ || !IsAlive(address) || pending.tried_nodes_.contains(address)) {
+        report.leaving_ || peer.latest_report_.received_at_ <= alive_since ||
+        pending.tried_nodes_.contains(address)) {
       continue;
     }
     const int since = std::max(0, peer.open_requests_ - peer.open_requests_at_load_);
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -12,7 +12,7 @@
 
 #include "LibCore/clock.h"
 #include "LibCore/metrics.h"
-#include "LibOwnership/key_table.h"
+#include "LibOwnership/fleet_records.h"
 #include "LibRouting/node_messages.h"
 #include "LibRouting/route_table.h"
 #include "platform/node_environment.h"
@@ -47,12 +47,12 @@
 /// snapshot on each change.
 struct RouterSnapshot {
   std::shared_ptr<const RouteTable> routes_;  ///< Null until a configuration has been applied.
-  std::string configuration_text_;
-  std::shared_ptr<const std::map<std::string, KeyTable>> tables_;  ///< By service; never null.
+  /// Text of the configuration, for other nodes; null without one.
+  std::shared_ptr<const std::string> configuration_text_;
+  FleetRecords records_;
   std::uint64_t tables_end_ = 0;
-  bool registered_ = false;  ///< The registration of this process has been read back.
-  std::vector<std::pair<std::string, std::string>> records_;  ///< Newest by key, for other nodes.
-  std::vector<Member> members_;                               ///< All but this node.
+  bool registered_ = false;        ///< The registration of this process has been read back.
+  std::vector<Member> members_;    ///< All but this node.
   std::set<std::string> readers_;  ///< Peer addresses of the nodes that follow the store.
   std::shared_ptr<const UpstreamState> upstream_;  ///< Null until its first heartbeat.
 };
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -51,11 +51,18 @@
   }
 }
 
-bool TopicFollower::Push(const KeyedRecord& record) {
-  if (!current_ || record.offset_ != end_) {
+bool TopicFollower::Advance(std::uint64_t offset) {
+  if (!current_ || offset != end_) {
     return false;
   }
   ++end_;
+  return true;
+}
+
+bool TopicFollower::Push(const KeyedRecord& record) {
+  if (!Advance(record.offset_)) {
+    return false;
+  }
   hooks_.on_record_(record);
   return true;
 }
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -51,6 +51,10 @@
   /// Applies a record that another node passed on. Returns false unless its offset is End().
   bool Push(const KeyedRecord& record);
 
+  /// Counts a record that another node passed on and that the caller applies itself. Returns false
+  /// unless its offset is End().
+  bool Advance(std::uint64_t offset);
+
   /// Offset behind the last known record.
   std::uint64_t End() const { return end_; }
   bool IsStoreReachable() const { return is_store_reachable_; }
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -228,11 +228,11 @@
   since = received_report.received_at_;
   StateTransfer state;
   if (report.configuration_version_ < version) {
-    state.configuration_ = snapshot_->configuration_text_;
+    state.configuration_ = *snapshot_->configuration_text_;
   }
   if (report.tables_end_ < snapshot_->tables_end_) {
     state.tables_end_ = snapshot_->tables_end_;
-    state.records_ = snapshot_->records_;
+    state.records_ = EncodeRecords(snapshot_->records_);
   }
   links_.Reply(connection, state);
 }
