router: Spread the returns of refused callers over the capacity, log rejections by upstreams

All callers that an overloaded gate refused were told the time until its queue is empty, so they came back together while it was still full; a caller whose request was held back at its entry was told a fixed 300 ms. A rejection by an upstream left no line that tells whether it was full. Rejections are logged with slots and reason.

--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -112,6 +112,12 @@
   return reported;
 }
 
+double UpstreamGate::CapacityPerSecond() const {
+  const double service_ms =
+      queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kDefaultServiceMs;
+  return queue_.slots_ * 1000.0 / service_ms;
+}
+
 std::optional<DemandReport> UpstreamGate::Demand() {
   if (upstream_ == nullptr) {
     return std::nullopt;
@@ -120,10 +126,7 @@
   DemandReport report;
   report.address_ = shared_.self_;
   report.service_ = upstream_->service_;
-  const double service_ms =
-      queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kDefaultServiceMs;
-  report.capacity_per_second_ =
-      queue_.slots_ * 1000.0 / service_ms * std::max(success_ratio_, kMinSuccessRatio);
+  report.capacity_per_second_ = CapacityPerSecond() * std::max(success_ratio_, kMinSuccessRatio);
   report.pieces_ = PartitionKeyLoad(key_load_, kMaxDemandRanges);
   return report;
 }
@@ -216,10 +219,10 @@
   if (verdict.decision_ == SlotDecision::kRun) {
     SendToUpstream(number);
   } else if (verdict.decision_ == SlotDecision::kRefuse) {
-    Refuse(number, RefusalReason::kFull, verdict.expected_wait_);
+    RefuseFull(number, verdict.expected_wait_);
   }
   for (const SlotRequest& displaced : verdict.displaced_) {
-    Refuse(displaced.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
+    RefuseFull(displaced.number_, ExpectedWait(queue_, queue_.waiting_.size()));
   }
   return number;
 }
@@ -258,6 +261,15 @@
         platform::ReadExecutionStatus(result.response_.value());
     answer.outcome_ = verdict.executed_ ? GateOutcome::kAnswered : GateOutcome::kRejected;
     answer.reason_ = verdict.misdirected_ ? RefusalReason::kNotOwner : RefusalReason::kFull;
+    if (!verdict.executed_) {
+      LogInfo(kPart, "request=" + open.request_.request_id_ +
+                         " rejected_by=" + upstream_->holder_.instance_ +
+                         " misdirected=" + (verdict.misdirected_ ? "true" : "false") +
+                         " status=" + std::to_string(result.response_.value().status_) +
+                         " slots=" + std::to_string(queue_.slots_) +
+                         " running=" + std::to_string(queue_.running_) +
+                         " ms=" + std::to_string(service.count()) + ".");
+    }
     if (verdict.executed_ && result.response_.value().status_ < kFirstServerError) {
       sample = service;
       last_sampled_[open.request_.class_] = BootClock::now();
@@ -340,6 +352,11 @@
   Answer(open, std::move(answer));
 }
 
+void UpstreamGate::RefuseFull(RequestNumber number, milliseconds expected_wait) {
+  Refuse(number, RefusalReason::kFull,
+         ScheduleReturn(returns_, CapacityPerSecond(), expected_wait, BootClock::now()));
+}
+
 void UpstreamGate::Answer(const OpenRequest& open, ForwardedAnswer answer) {
   answer.number_ = open.request_.number_;
   answer.load_ = Load();
@@ -349,7 +366,7 @@
 void UpstreamGate::AdmitWaiting() {
   const BootTime now = BootClock::now();
   for (const SlotRequest& overdue : TakeOverdue(queue_, now)) {
-    Refuse(overdue.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
+    RefuseFull(overdue.number_, ExpectedWait(queue_, queue_.waiting_.size()));
   }
   while (const auto next = TakeWaiting(queue_, now)) {
     const RefusalReason reason = CheckAdmission(open_requests_.at(next->number_).request_);
