router: Take the schedule of returns back

Change: the gate tells the expected wait again; the line for rejections by upstreams stays. Result: TestSlotQueue and TestUpstreamGate pass.

--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -92,7 +92,6 @@
   if (answer.outcome_ == GateOutcome::kRefused) {
     if (pending.location_ == Location::kPeer && answer.reason_ == RefusalReason::kFull) {
       CountRefused(peers_[pending.node_].throttle_);
-      peers_[pending.node_].retry_after_ = milliseconds(answer.retry_after_ms_);
     }
     RecordAttemptEnd(pending, false);
     OnRefused(number, answer);
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -214,7 +214,6 @@
       SendThrottle& throttle = peers_[node].throttle_;
       if (!MaySend(throttle, BootClock::now(), RandomFraction())) {
         pending.node_ = node;
-        pending.retry_after_ = peers_[node].retry_after_;
         Refuse(number, "owner-overloaded");
         return;
       }
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -93,7 +93,6 @@
     int open_requests_at_load_ = 0;  ///< Of these, those that load_ may include.
     double failure_ratio_ = 0;       ///< Smoothed ratio of failed to all requests.
     SendThrottle throttle_;          ///< Limits requests for keys that it owns.
-    milliseconds retry_after_{0};    ///< Newest that its gate proposed; 0 if none.
   };
 
   Result<Pending> Accept(const std::shared_ptr<HttpExchange>& exchange, HttpResponse& refusal);
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -112,12 +112,6 @@
   return reported;
 }
 
-double UpstreamGate::CapacityPerSecond() const {
-  const double service_ms =
-      queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kDefaultServiceMs;
-  return queue_.slots_ * 1000.0 / service_ms;
-}
-
 std::optional<DemandReport> UpstreamGate::Demand() {
   if (upstream_ == nullptr) {
     return std::nullopt;
@@ -126,7 +120,10 @@
   DemandReport report;
   report.address_ = shared_.self_;
   report.service_ = upstream_->service_;
-  report.capacity_per_second_ = CapacityPerSecond() * std::max(success_ratio_, kMinSuccessRatio);
+  const double service_ms =
+      queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kDefaultServiceMs;
+  report.capacity_per_second_ =
+      queue_.slots_ * 1000.0 / service_ms * std::max(success_ratio_, kMinSuccessRatio);
   report.pieces_ = PartitionKeyLoad(key_load_, kMaxDemandRanges);
   return report;
 }
@@ -219,10 +216,10 @@
   if (verdict.decision_ == SlotDecision::kRun) {
     SendToUpstream(number);
   } else if (verdict.decision_ == SlotDecision::kRefuse) {
-    RefuseFull(number, verdict.expected_wait_);
+    Refuse(number, RefusalReason::kFull, verdict.expected_wait_);
   }
   for (const SlotRequest& displaced : verdict.displaced_) {
-    RefuseFull(displaced.number_, ExpectedWait(queue_, queue_.waiting_.size()));
+    Refuse(displaced.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
   }
   return number;
 }
@@ -352,11 +349,6 @@
   Answer(open, std::move(answer));
 }
 
-void UpstreamGate::RefuseFull(RequestNumber number, milliseconds expected_wait) {
-  Refuse(number, RefusalReason::kFull,
-         ScheduleReturn(returns_, CapacityPerSecond(), expected_wait, BootClock::now()));
-}
-
 void UpstreamGate::Answer(const OpenRequest& open, ForwardedAnswer answer) {
   answer.number_ = open.request_.number_;
   answer.load_ = Load();
@@ -366,7 +358,7 @@
 void UpstreamGate::AdmitWaiting() {
   const BootTime now = BootClock::now();
   for (const SlotRequest& overdue : TakeOverdue(queue_, now)) {
-    RefuseFull(overdue.number_, ExpectedWait(queue_, queue_.waiting_.size()));
+    Refuse(overdue.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
   }
   while (const auto next = TakeWaiting(queue_, now)) {
     const RefusalReason reason = CheckAdmission(open_requests_.at(next->number_).request_);
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -13,7 +13,6 @@
 #include "LibRouting/key_load.h"
 #include "LibRouting/link_admission.h"
 #include "LibRouting/node_messages.h"
-#include "LibRouting/return_schedule.h"
 #include "LibRouting/slot_queue.h"
 #include "LibTransport/reactor_loop.h"
 #include "LibTransport/upstream_client.h"
@@ -89,10 +88,6 @@
   void OnResult(RequestNumber number, UpstreamResult result);
   void OnUpstreamLost(const OpenRequest& open, const UpstreamResult& result);
   void Refuse(RequestNumber number, RefusalReason reason, milliseconds retry_after);
-  /// Refuses a request for which no slot is free in time.
-  void RefuseFull(RequestNumber number, milliseconds expected_wait);
-  /// Requests that the upstream completes per second when all slots are in use.
-  double CapacityPerSecond() const;
   void Answer(const OpenRequest& open, ForwardedAnswer answer);
   void AdmitWaiting();
   void ConfirmCrash(std::string_view evidence);
@@ -103,7 +98,6 @@
   std::shared_ptr<const UpstreamState> upstream_;
   SlotQueue queue_;
   LinkLoad link_;
-  ReturnSchedule returns_;
   KeyLoad key_load_;
   std::map<std::string, BootTime, std::less<>> last_sampled_;  ///< Newest sample of each class.
   double success_ratio_ = 1;  ///< Smoothed ratio of served to sent requests.
