--- a/Tests/Services/test_peer_links.cc
+++ b/Tests/Services/test_peer_links.cc
@@ -29,7 +29,8 @@
     };
     hooks.on_incoming_closed_ = [](ConnectionId) {};
     hooks.awaits_answers_ = [this](ConnectionId connection) { return connection == awaited_on_; };
-    BOOST_REQUIRE(links_.Listen(std::move(hooks)).has_value());
+    const Result<void> listening = links_.Listen(std::move(hooks));
+    BOOST_REQUIRE(listening.has_value());
   }
 
   ConnectionId Send() {
