--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -608,11 +608,16 @@
         self.thread_.join()
 
 
+def raise_terminated(number, frame):
+    raise CannotRun("terminated")
+
+
 def run_case(folder, play):
     """Runs `play(record, trouble)`, which returns a list of broken rules, and exits with the code of the case."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", trouble=trouble)
+    signal.signal(signal.SIGTERM, raise_terminated)
     try:
         broken = play(record, trouble)
     except CannotRun as error:
