--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""REFUSED after a late second copy of a rejection: see claim.txt."""
+"""REFUSED and TWICE after a late second copy of a rejection: see claim.txt."""
 
 import os
 import random
@@ -10,14 +10,15 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins"))
 import fleet  # noqa: E402
 
-TARGETS = 10
-DRAINED = 8
+TARGETS = 12
+DRAINED = 10
 CALM_SECONDS = 4.0
 SECONDS_BETWEEN_DRAINS = 3.5
 SECONDS_BETWEEN_REQUESTS = 0.015
 CLIENTS = 16
 MAX_EXTRA_SHARE = 0.03  # Of a target's answers: the dose of `garble` with `extra late` in the site file.
 MAX_ANSWER_DELAY_SECONDS = 0.3  # Of the answers to heartbeats on their way; they count if they arrive within a second.
+FURTHER_DELAY_SECONDS = 0.012  # After the first request that came too early.
 
 
 class RepeatingTarget(fleet.Target):
@@ -35,6 +36,7 @@
         if self.rows_ and fleet.subtract(answer.get("holds", []), self.rows_):
             self.rejected_.clear()
             self.rejected_.wait(MAX_ANSWER_DELAY_SECONDS)
+            time.sleep(FURTHER_DELAY_SECONDS)
         super().apply(body, answer, sent)
 
     def before_answer(self, connection, state, request):
@@ -53,7 +55,11 @@
 
 
 def play(record, trouble):
-    rules = [fleet.route("trust-bill", "non_idempotent", "/bill/", "ledger-house", timeout="2000ms")]
+    # The example of the pages has 2 attempts. With 3, the request is sent once more and runs twice.
+    rules = [
+        fleet.route("trust-bill", "non_idempotent", "/bill/", "ledger-house", timeout="2000ms", attempts=2),
+        fleet.route("trust-credit", "non_idempotent", "/credit/", "ledger-house", timeout="2000ms", attempts=3),
+    ]
     system = fleet.Fleet(record, {"ledger-house": TARGETS}, {"ledger-house"}, rules, target_class=RepeatingTarget)
     answers = {}
     try:
@@ -64,7 +70,8 @@
             while not stop.is_set():
                 node = random.choice(system.nodes_)
                 key = random.randrange(fleet.LAST_KEY + 1)
-                number, status, _ = fleet.send(record, node.host_, "POST", "/bill/7", key, b"amount=12", 2000)
+                path = random.choice(["/bill/7", "/bill/7", "/credit/7"])
+                number, status, _ = fleet.send(record, node.host_, "POST", path, key, b"amount=12", 2000)
                 answers[number] = status
                 time.sleep(SECONDS_BETWEEN_REQUESTS)
 
