router: Report and log how long ago the configuration was verified

Logs and metrics showed which version a node has, but not how old its knowledge is that no newer one exists, so that a lost reader, a read that hangs and a slow VM couldn't be told apart.

Reports carry the time since the sender verified its configuration. The log line of a new configuration says how long ago the old one was verified (verified_ms_ago), and sassafrasbay_configuration_age_ms is the current value.

--- a/Libraries/LibRouting/cbor_frame.h
+++ b/Libraries/LibRouting/cbor_frame.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -75,6 +76,14 @@
       TakeUnsigned(reader, name, static_cast<std::uint64_t>(std::numeric_limits<Integer>::max())));
 }
 
+/// Like Read, but leaves `out` empty when the field is absent.
+template <typename Integer>
+void ReadIfPresent(FieldReader& reader, std::string_view name, std::optional<Integer>& out) {
+  if (reader.fields_ != nullptr && reader.fields_->contains(name)) {
+    Read(reader, name, out.emplace());
+  }
+}
+
 /// Returns the content of a byte string of the frame. Records the field as invalid if the value
 /// isn't one.
 std::string ToBytes(FieldReader& reader, std::string_view name, const Cbor& value);
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -89,6 +89,9 @@
   value["te"] = message.tables_end_;
   value["rs"] = message.reaches_store_;
   value["cv"] = message.configuration_version_;
+  if (message.configuration_age_ms_) {
+    value["ca"] = *message.configuration_age_ms_;
+  }
   WriteLoad(value, message.load_);
   Cbor::array_t times;
   for (const ServiceTime& time : message.service_times_) {
@@ -149,9 +152,7 @@
   ForwardedRequest message;
   Read(reader, "n", message.number_);
   message.service_ = TakeText(reader, "s");
-  if (reader.fields_ != nullptr && reader.fields_->contains("k")) {
-    Read(reader, "k", message.shard_key_.emplace());
-  }
+  ReadIfPresent(reader, "k", message.shard_key_);
   message.request_id_ = TakeBytes(reader, "i");
   message.class_ = TakeText(reader, "c");
   message.rank_ = static_cast<int>(TakeUnsigned(reader, "rk", kMaxRank));
@@ -193,6 +194,7 @@
   Read(reader, "te", message.tables_end_);
   message.reaches_store_ = TakeFlag(reader, "rs");
   Read(reader, "cv", message.configuration_version_);
+  ReadIfPresent(reader, "ca", message.configuration_age_ms_);
   message.load_ = ReadLoad(reader);
   message.upstream_.service_ = TakeText(reader, "us");
   message.upstream_.instance_ = TakeText(reader, "ui");
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -104,6 +104,8 @@
   std::uint64_t tables_end_ = 0;  ///< Offset up to which the sender has read the topic of tables.
   bool reaches_store_ = false;    ///< Whether the sender can reach the store.
   std::uint64_t configuration_version_ = 0;
+  /// Time since the sender last verified that this version was the newest; nothing if it never did.
+  std::optional<std::uint64_t> configuration_age_ms_;
   GateLoad load_;
   std::vector<ServiceTime> service_times_;
   UpstreamSummary upstream_;
--- /dev/null
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -0,0 +1,105 @@
+#include <utility>
+
+#include "LibCore/logging.h"
+#include "platform/configuration_decoder.h"
+#include "platform/wire_names.h"
+#include "router/control_thread.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "control";
+
+/// Delay of the read after a report names a newer configuration. There is no other copy to wait
+/// for, since publishers send it to the store only.
+constexpr milliseconds kConfigurationReadDelay{0};
+
+std::string_view ToString(ConfigurationSource source) {
+  return source == ConfigurationSource::kStore ? "store" : "peer";
+}
+
+/// Logs each route, so that the log line of a request can be read with the limits that applied to
+/// it.
+void LogRoutes(const RouteTable& table) {
+  for (const auto& [host, routes] : table.routes_by_host_) {
+    for (const Route& route : routes) {
+      LogInfo("routes",
+              "configuration=" + std::to_string(table.version_) + " route=" + route.name_ +
+                  " rank=" + std::to_string(route.rank_) +
+                  " idempotent=" + (route.kind_ == RequestKind::kIdempotent ? "true" : "false") +
+                  " objective_ms=" + std::to_string(route.objective_.count()) +
+                  " timeout_ms=" + std::to_string(route.timeout_.count()) +
+                  " attempts=" + std::to_string(route.max_attempts_) +
+                  " service=" + route.destinations_.front().service_ + ".");
+    }
+  }
+}
+
+}  // namespace
+
+void ControlThread::OnOperatorRecord(const KeyedRecord& record) {
+  if (record.key_ == platform::kConfigurationKey && !record.value_.empty()) {
+    ApplyConfiguration(record.value_, ConfigurationSource::kStore);
+  }
+}
+
+void ControlThread::ApplyConfiguration(std::string_view text, ConfigurationSource source) {
+  auto routes = platform::DecodeConfiguration(text);
+  if (!routes) {
+    LogWarning(kPart,
+               "configuration ignored reason=\"" + sassafrasbay::ToString(routes.error()) + "\".");
+    return;
+  }
+  const std::uint64_t version = routes.value().version_;
+  if (routes_ != nullptr && version <= routes_->version_) {
+    return;
+  }
+  LogInfo(kPart, "configuration version=" + std::to_string(version) +
+                     " from=" + std::to_string(ConfigurationVersion()) +
+                     " source=" + std::string(ToString(source)) + " verified_ms_ago=" +
+                     std::to_string(ConfigurationAge().count()) + " is in force.");
+  LogRoutes(routes.value());
+  routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
+  configuration_text_ = std::make_shared<const std::string>(text);
+  ScheduleUpdate();
+}
+
+std::uint64_t ControlThread::ConfigurationVersion() const {
+  return routes_ == nullptr ? 0 : routes_->version_;
+}
+
+milliseconds ControlThread::ConfigurationAge() const {
+  const auto since =
+      shared_.configuration_confirmations_.Since(ConfigurationVersion()).value_or(started_);
+  return std::chrono::duration_cast<milliseconds>(BootClock::now() - since);
+}
+
+void ControlThread::ConfirmConfiguration(BootTime since) {
+  // A report can return a value that this VM's clock had before its last boot.
+  if (since > BootClock::now()) {
+    shared_.metrics_.Count("sassafrasbay_confirmations_ignored_total");
+    return;
+  }
+  shared_.configuration_confirmations_.Confirm(ConfigurationVersion(), since);
+}
+
+// As in OnReport, the echoed clock makes the sender's knowledge at least as old as it was.
+void ControlThread::OnReportedConfiguration(const NodeReport& report) {
+  const std::uint64_t version = report.configuration_version_;
+  if (version == ConfigurationVersion() && report.configuration_age_ms_ &&
+      report.echoed_clock_ms_ > 0) {
+    ConfirmConfiguration(BootTime(milliseconds(report.echoed_clock_ms_)) -
+                         milliseconds(*report.configuration_age_ms_));
+  }
+  const auto is_in_force = [this, version] { return ConfigurationVersion() >= version; };
+  if (!is_in_force()) {
+    operator_topic_.ReadUnlessKnown(kConfigurationReadDelay, is_in_force);
+  }
+}
+
+void ControlThread::ReportConfigurationAge() {
+  shared_.metrics_.SetGauge("sassafrasbay_configuration_age_ms", {},
+                            static_cast<double>(ConfigurationAge().count()));
+}
+
+}  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -7,7 +7,6 @@
 #include "LibCore/hash.h"
 #include "LibCore/logging.h"
 #include "LibOwnership/key_table_codec.h"
-#include "platform/configuration_decoder.h"
 #include "platform/wire_names.h"
 
 namespace sassafrasbay {
@@ -15,10 +14,6 @@
 
 constexpr std::string_view kPart = "control";
 
-/// Values of source= in log lines about configurations.
-constexpr std::string_view kSourceStore = "store";
-constexpr std::string_view kSourcePeer = "peer";
-
 /// Connections to the store: two long polls, one append and a spare.
 constexpr int kStoreConnections = 8;
 
@@ -28,31 +23,10 @@
 /// A draining upstream gets requests until this long before the operators' limit on draining.
 constexpr milliseconds kDrainMargin{500};
 
-/// Delay of the read after a report names a newer configuration. There is no other copy to wait
-/// for, since publishers send it to the store only.
-constexpr milliseconds kConfigurationReadDelay{0};
-
 /// Maximum age of the last confirmation of the tables with which this node counts as reaching the
 /// store.
 constexpr milliseconds kMaxConfirmationAge{2000};
 
-/// Logs each route, so that the log line of a request can be read with the limits that applied to
-/// it.
-void LogRoutes(const RouteTable& table) {
-  for (const auto& [host, routes] : table.routes_by_host_) {
-    for (const Route& route : routes) {
-      LogInfo("routes",
-              "configuration=" + std::to_string(table.version_) + " route=" + route.name_ +
-                  " rank=" + std::to_string(route.rank_) +
-                  " idempotent=" + (route.kind_ == RequestKind::kIdempotent ? "true" : "false") +
-                  " objective_ms=" + std::to_string(route.objective_.count()) +
-                  " timeout_ms=" + std::to_string(route.timeout_.count()) +
-                  " attempts=" + std::to_string(route.max_attempts_) +
-                  " service=" + route.destinations_.front().service_ + ".");
-    }
-  }
-}
-
 /// Adds the demand on the upstream beside the node at `address`, if that upstream can own keys.
 void AddDemand(OwnershipView& view, const std::string& address, const DemandReport& report) {
   UpstreamDemand demand;
@@ -79,12 +53,14 @@
     : shared_(shared),
       client_(loop_, kStoreConnections),
       store_(client_, shared.environment_.store_),
-      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kJoiningReadSchedule,
-                      {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
-                       [](BootTime) {}, [](bool) {}}),
+      operator_topic_(
+          loop_, store_, std::string(platform::kOperatorTopic), kJoiningReadSchedule,
+          {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
+           [this](BootTime, BootTime answered_at) { ConfirmConfiguration(answered_at); },
+           [](bool) {}}),
       fleet_topic_(loop_, store_, std::string(kFleetTopic), kJoiningReadSchedule,
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
-                    [this](BootTime requested_at) { OnTablesCurrent(requested_at); },
+                    [this](BootTime requested_at, BootTime) { OnTablesCurrent(requested_at); },
                     [this](bool reached) { shared_.reaches_store_ = reached; }}),
       key_table_writer_(store_, shared_.promises_,
                         [this](const KeyedRecord& record) { OnWritten(record); }),
@@ -110,6 +86,7 @@
   fleet_topic_.Start();
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
     ChooseReaders();
+    ReportConfigurationAge();
     RemoveLostNode();
     Decide();
     AnswerPendingHeartbeats();
@@ -146,31 +123,6 @@
   return callbacks;
 }
 
-void ControlThread::OnOperatorRecord(const KeyedRecord& record) {
-  if (record.key_ == platform::kConfigurationKey && !record.value_.empty()) {
-    ApplyConfiguration(record.value_, kSourceStore);
-  }
-}
-
-void ControlThread::ApplyConfiguration(std::string_view text, std::string_view source) {
-  auto routes = platform::DecodeConfiguration(text);
-  if (!routes) {
-    LogWarning(kPart, "configuration ignored reason=\"" + ToString(routes.error()) + "\".");
-    return;
-  }
-  const std::uint64_t version = routes.value().version_;
-  if (routes_ != nullptr && version <= routes_->version_) {
-    return;
-  }
-  LogInfo(kPart, "configuration version=" + std::to_string(version) +
-                     " from=" + std::to_string(routes_ == nullptr ? 0 : routes_->version_) +
-                     " source=" + std::string(source) + " is in force.");
-  LogRoutes(routes.value());
-  routes_ = std::make_shared<const RouteTable>(std::move(routes.value()));
-  configuration_text_ = std::make_shared<const std::string>(text);
-  ScheduleUpdate();
-}
-
 void ControlThread::OnWritten(const KeyedRecord& record) {
   TableRecord message{record.offset_, record.key_, record.value_};
   if (record.key_.starts_with(kTablePrefix)) {
@@ -288,12 +240,7 @@
         MaxReplicationLag(members_.size()),
         [this, end = report.tables_end_] { return fleet_topic_.End() >= end; });
   }
-  const auto is_in_force = [this, version = report.configuration_version_] {
-    return routes_ != nullptr && routes_->version_ >= version;
-  };
-  if (report.configuration_version_ > 0 && !is_in_force()) {
-    operator_topic_.ReadUnlessKnown(kConfigurationReadDelay, is_in_force);
-  }
+  OnReportedConfiguration(report);
   const std::string address = report.address_;
   const auto known = peers_.find(address);
   const bool upstream_changed =
@@ -308,7 +255,7 @@
 
 void ControlThread::OnState(const StateTransfer& state) {
   if (!state.configuration_.empty()) {
-    ApplyConfiguration(state.configuration_, kSourcePeer);
+    ApplyConfiguration(state.configuration_, ConfigurationSource::kPeer);
   }
   if (state.tables_end_ <= fleet_topic_.End()) {
     return;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,9 @@
 /// test day with 66 nodes.
 inline constexpr ReadSchedule kJoiningReadSchedule{milliseconds(0), milliseconds(400)};
 
+/// Where a node got a configuration from.
+enum class ConfigurationSource : std::uint8_t { kStore, kPeer };
+
 /// Maintains the configuration, the list of nodes, the key ownership and the grants to the local
 /// upstream, whose heartbeats it answers.
 class ControlThread {
@@ -52,7 +56,16 @@
   };
 
   void OnOperatorRecord(const KeyedRecord& record);
-  void ApplyConfiguration(std::string_view text, std::string_view source);
+  void ApplyConfiguration(std::string_view text, ConfigurationSource source);
+  /// Version of the configuration in force; 0 without one.
+  std::uint64_t ConfigurationVersion() const;
+  /// Time since it was last known that no newer configuration exists.
+  milliseconds ConfigurationAge() const;
+  /// Records that the configuration in force was the newest one at the time `since`.
+  void ConfirmConfiguration(BootTime since);
+  /// Takes over what a report says of the configuration, and reads a newer one.
+  void OnReportedConfiguration(const NodeReport& report);
+  void ReportConfigurationAge();
   void OnFleetRecord(const KeyedRecord& record);
   void OnNodeRecord(const KeyedRecord& record);
   /// Replaces the known table of the service by a newer one.
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -63,6 +63,7 @@
   std::string self_;  ///< Peer address of this node.
   Metrics metrics_;
   SharedConfirmations confirmations_;
+  SharedConfirmations configuration_confirmations_;
   std::atomic<bool> reaches_store_{false};
   SharedPromises promises_;
 };
--- a/Services/sassafrasbay/router/shared_confirmations.h
+++ b/Services/sassafrasbay/router/shared_confirmations.h
@@ -8,8 +8,9 @@
 
 namespace sassafrasbay {
 
-/// Confirmations of the key tables: the control thread records them, the traffic thread reports
-/// them together with the tables that it knows, which may be older ones. Thread-safe.
+/// Confirmations of the key tables or of the configuration, whose versions take the place of the
+/// offsets: the control thread records them, the traffic thread reports them together with the
+/// state that it knows, which may be older. Thread-safe.
 class SharedConfirmations {
  public:
   void Confirm(std::uint64_t end, BootTime since) {
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -141,7 +141,7 @@
   // further read without a long poll returns what is missing.
   const bool complete = !newest && end_ >= batch.value().end_;
   if (complete) {
-    hooks_.on_current_(requested_at);
+    hooks_.on_current_(requested_at, BootClock::now());
   }
   const bool long_poll_expired =
       batch.value().records_.empty() && read_schedule_.wait_timeout_.count() > 0;
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -30,8 +30,9 @@
     /// Called with each record, in order; an empty value removes the key.
     std::function<void(const KeyedRecord&)> on_record_;
     /// Called after each complete read. All records that existed at `requested_at` have been passed
-    /// to on_record_.
-    std::function<void(BootTime requested_at)> on_current_;
+    /// to on_record_, and those that existed at `answered_at` unless the answer was delayed on its
+    /// way.
+    std::function<void(BootTime requested_at, BootTime answered_at)> on_current_;
     /// Called when reads of this topic start to fail or succeed again.
     std::function<void(bool reached)> on_reachability_changed_;
   };
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -41,6 +41,12 @@
   return static_cast<std::uint64_t>(ToBootMilliseconds(BootClock::now()));
 }
 
+/// Time since `since`, rounded up.
+std::uint64_t AgeMilliseconds(BootTime since) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - since).count() + 1);
+}
+
 }  // namespace
 
 TrafficThread::TrafficThread(RouterShared& shared)
@@ -268,10 +274,13 @@
   report.tables_end_ = snapshot_->tables_end_;
   if (const auto since = shared_.confirmations_.Since(snapshot_->tables_end_)) {
     report.tables_known_ = true;
-    report.tables_age_ms_ = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(BootClock::now() - *since).count() + 1);
+    report.tables_age_ms_ = AgeMilliseconds(*since);
   }
   report.configuration_version_ = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
+  if (const auto since =
+          shared_.configuration_confirmations_.Since(report.configuration_version_)) {
+    report.configuration_age_ms_ = AgeMilliseconds(*since);
+  }
   if (snapshot_->upstream_ != nullptr) {
     const UpstreamState& upstream = *snapshot_->upstream_;
     report.upstream_ = {upstream.service_, upstream.holder_.instance_, upstream.holder_.born_ms_,
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -30,6 +30,7 @@
   report.address_ = "10.1.0.8:7620";
   report.tables_known_ = true;
   report.tables_age_ms_ = 12;
+  report.configuration_age_ms_ = 340;
   report.service_times_ = {{"r-1", 250}, {"r-2", 1000}};
   report.upstream_ = {"s1", "i-1", 1700000000123, true};
   StateTransfer state{"text", 5, {{"k", std::string("\0v", 2)}}};
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -118,7 +118,7 @@
   FollowerFixture()
       : follower_(loop_, store_, "keyed.t", ReadSchedule{milliseconds(200), milliseconds(0)},
                   {[this](const KeyedRecord& record) { seen_[record.key_] = record.value_; },
-                   [this](BootTime) {
+                   [this](BootTime, BootTime) {
                      if (until_()) {
                        loop_.Stop();
                      }
