router: Read the configuration when the readers' knowledge is too old

Cause: a node that isn't a reader knew of a change only from a reader's report and took silence for the absence of changes. When the three readers lose the store without an error, the delay is the timeout of their reads (1.6 s), a report interval, and a further timeout for each round of readers, since the next ones are chosen from reports that are up to 9 s old.

Each node now knows the age of its knowledge from the reports, whose echoed clock bounds it, and reads the store itself once that exceeds 0.7 of the operators' limit (setting converge). Detection of lost readers is no longer part of the bound. Readers poll the configuration for 0.6 s instead of 0.9 s, so that the age stays below the limit while they work.

--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -14,6 +14,11 @@
 /// for, since publishers send it to the store only.
 constexpr milliseconds kConfigurationReadDelay{0};
 
+/// Fraction of the operators' limit on the time until a configuration is in force. A node whose
+/// knowledge is older reads the store itself. The rest of the time is for the read and for decoding
+/// the configuration on a VM with a tenth of a core.
+constexpr double kMaxAgeFraction = 0.7;
+
 std::string_view ToString(ConfigurationSource source) {
   return source == ConfigurationSource::kStore ? "store" : "peer";
 }
@@ -97,9 +102,16 @@
   }
 }
 
-void ControlThread::ReportConfigurationAge() {
+// Readers report new configurations. That they are silent doesn't mean that there is none: they may
+// be lost, or may have lost the store without noticing yet.
+void ControlThread::VerifyConfiguration() {
+  const milliseconds age = ConfigurationAge();
   shared_.metrics_.SetGauge("sassafrasbay_configuration_age_ms", {},
-                            static_cast<double>(ConfigurationAge().count()));
+                            static_cast<double>(age.count()));
+  if (age > kMaxAgeFraction * shared_.environment_.configuration_limit_ &&
+      operator_topic_.ReadUnlessReading()) {
+    shared_.metrics_.Count("sassafrasbay_configuration_verifications_total");
+  }
 }
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -18,10 +18,14 @@
 constexpr std::size_t kReaderCount = 3;
 
 /// The long poll limits the time until a hung read is detected, together with the store client's
-/// margin: a configuration has to be in force everywhere within 2 s. The delay combines the records
-/// of a busy period into one read; writers pass them on anyway.
+/// margin. The delay combines the records of a busy period into one read; writers pass them on
+/// anyway.
 constexpr ReadSchedule kReaderSchedule{milliseconds(900), milliseconds(250)};
 
+/// The long poll, two report intervals and the network delays together stay below the age at which
+/// the other nodes read the configuration themselves.
+constexpr ReadSchedule kReaderConfigurationSchedule{milliseconds(600), milliseconds(0)};
+
 /// Delay between two reads of the tables by a node that isn't a reader: kNonReaderDelayPerNode for
 /// each node of the system, but at least kMinNonReaderDelay. With reads every 5 s, 100 nodes made
 /// 800 calls in a test day of 40 s.
@@ -29,7 +33,7 @@
 constexpr milliseconds kNonReaderDelayPerNode{100};
 
 /// Reads of the configuration by a node that isn't a reader. They are rare, since the readers'
-/// reports show a new configuration.
+/// reports show a new configuration; see also ControlThread::VerifyConfiguration.
 constexpr ReadSchedule kNonReaderConfigurationSchedule{milliseconds(0), milliseconds(20000)};
 
 /// A node without a report for this long is removed from the list. Its promises are then no longer
@@ -112,7 +116,8 @@
                  kNonReaderDelayPerNode * static_cast<milliseconds::rep>(members_.size()));
     fleet_topic_.SetReadSchedule(is_reader ? kReaderSchedule
                                            : ReadSchedule{milliseconds(0), delay});
-    operator_topic_.SetReadSchedule(is_reader ? kReaderSchedule : kNonReaderConfigurationSchedule);
+    operator_topic_.SetReadSchedule(is_reader ? kReaderConfigurationSchedule
+                                              : kNonReaderConfigurationSchedule);
   }
   if (changed) {
     std::string names;
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -86,7 +86,7 @@
   fleet_topic_.Start();
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
     ChooseReaders();
-    ReportConfigurationAge();
+    VerifyConfiguration();
     RemoveLostNode();
     Decide();
     AnswerPendingHeartbeats();
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -65,7 +65,8 @@
   void ConfirmConfiguration(BootTime since);
   /// Takes over what a report says of the configuration, and reads a newer one.
   void OnReportedConfiguration(const NodeReport& report);
-  void ReportConfigurationAge();
+  /// Reads the store when it is too long ago that the configuration was verified.
+  void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
   void OnNodeRecord(const KeyedRecord& record);
   /// Replaces the known table of the service by a newer one.
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -77,6 +77,14 @@
   }
 }
 
+bool TopicFollower::ReadUnlessReading() {
+  if (immediate_read_pending_ || consecutive_failures_ > 0) {
+    return false;
+  }
+  ReadNow();
+  return true;
+}
+
 void TopicFollower::ReadUnlessKnown(milliseconds delay, std::function<bool()> is_known) {
   if (delayed_read_timer_ != 0 || immediate_read_pending_ || !is_store_reachable_) {
     return;
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -69,6 +69,10 @@
   /// keeps its connection; its answer is ignored.
   void ReadNow();
 
+  /// Reads now, unless a read without a long poll is in progress or a failed one is about to be
+  /// repeated. Returns whether it reads.
+  bool ReadUnlessReading();
+
   /// Reads after `delay`, unless `is_known` then returns true because another node has passed on
   /// the missing records. Calls before that are ignored, so that many reports of one record cause
   /// one read.
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -97,7 +97,8 @@
          "\"\napp-addr = " + quoted_host + std::to_string(kTargetPort) +
          "\"\nbeat-interval = \"870ms\"\n" + "port-range = [" + std::to_string(kPeerPort) + ", " +
          std::to_string(kPeerPort + 15) +
-         "]\nbounds = [\"drain-timeout=2000ms\", \"grace-period=6s\", \"hold-max=10000ms\", " +
+         "]\nbounds = [\"converge=2000ms\", \"drain-timeout=2000ms\", \"grace-period=6s\", "
+         "\"hold-max=10000ms\", " +
          "\"retry-ratio=0.2\", \"budget-window=10s\", \"budget-slack=62\"]\n" +
          "[listen-addrs]\noutbound-addr = " + quoted_host + std::to_string(kCallersPort) +
          "\"\nready-addr = " + quoted_host + std::to_string(kReadyPort) +
@@ -118,8 +119,12 @@
   vm.process_ = std::move(process.value());
 }
 
-void Fleet::WriteConfiguration() {
-  const auto route = [](const char* name, const char* kind, int priority, const char* prefix,
+std::string Fleet::VersionPath(std::uint64_t version) {
+  return "/version/" + std::to_string(version) + "/";
+}
+
+std::uint64_t Fleet::WriteConfiguration() {
+  const auto route = [](const char* name, const char* kind, int priority, const std::string& prefix,
                         std::string_view service) {
     return nlohmann::json{
         {"name", name},
@@ -148,9 +153,11 @@
          {"rules",
           {route("lookup", "idempotent", 2, "/lookup/", kLookupService),
            route("report", "idempotent", 2, "/report/", kBookingService),
-           route("book", "non_idempotent", 0, "/book/", kBookingService)}}}}},
+           route("book", "non_idempotent", 0, "/book/", kBookingService),
+           route("version", "idempotent", 2, VersionPath(version_), kBookingService)}}}}},
       {"clusters", {cluster(kLookupService, true), cluster(kBookingService, false)}}};
   store_.Append(platform::kOperatorTopic, platform::kConfigurationKey, configuration.dump());
+  return version_;
 }
 
 void Fleet::SetFaults(const std::string& route, pid_t process,
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -52,8 +52,10 @@
   void SetPeerFaults(std::size_t node, pid_t from, const stand_ins::ProxyFaults& faults);
   /// Sets the faults on a node's link to the store.
   void SetStoreFaults(std::size_t node, const stand_ins::ProxyFaults& faults);
-  /// Publishes the configuration under a higher version than before.
-  void WriteConfiguration();
+  /// Publishes the configuration under a higher version than before, which is returned.
+  std::uint64_t WriteConfiguration();
+  /// Prefix of a route that only this version of the configuration has.
+  static std::string VersionPath(std::uint64_t version);
 
   std::vector<Vm>& Vms() { return vms_; }
   stand_ins::StoreStandIn& Store() { return store_; }
--- /dev/null
+++ b/Tests/Soak/test_configuration_in_force.cc
@@ -0,0 +1,140 @@
+#define BOOST_TEST_MODULE ConfigurationInForce
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "LibTransport/http_client.h"
+#include "Soak/fleet.h"
+#include "platform/wire_names.h"
+
+namespace sassafrasbay::soak {
+namespace {
+
+/// Time within which the platform requires a configuration in force, as in the fleet's settings.
+constexpr milliseconds kMaxConfigurationDelay{2000};
+
+constexpr milliseconds kStartTimeout{20'000};
+constexpr milliseconds kProbeInterval{25};
+
+/// Time in which the nodes choose readers and exchange reports after their start.
+constexpr milliseconds kSettlingTime{3000};
+
+/// Each fleet gets a loopback network of its own, since its proxies keep their ports.
+constexpr int kFirstNetwork = 90;
+int fleets_started = 0;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+struct FleetFixture {
+  FleetFixture() {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::filesystem::remove_all(directory_);
+    std::filesystem::create_directories(directory_);
+    BOOST_REQUIRE(fleet_.Start().has_value());
+    for (const Vm& vm : fleet_.Vms()) {
+      AwaitReady(vm);
+    }
+    RunFor(kSettlingTime);
+  }
+
+  HttpResult Get(HttpCall call) {
+    std::optional<HttpResult> received;
+    client_.Start(std::move(call), [&](HttpResult result) {
+      received = std::move(result);
+      loop_.Stop();
+    });
+    loop_.Run();
+    return std::move(*received);
+  }
+
+  void AwaitReady(const Vm& vm) {
+    HttpCall call;
+    call.base_url_ = "http://" + vm.host_ + ":7002";
+    call.request_ = {"GET", "/-/ready", {}, {}};
+    const BootTime end = BootClock::now() + kStartTimeout;
+    bool ready = false;
+    while (!ready && BootClock::now() < end) {
+      const HttpResult result = Get(call);
+      ready = result.response_ && result.response_.value().status_ == kOk;
+      RunFor(kProbeInterval);
+    }
+    BOOST_REQUIRE(ready);
+  }
+
+  void RunFor(milliseconds time) {
+    loop_.StartTimer(time, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
+  /// Whether the node has a route that exists only in this version of the configuration. The time
+  /// left is too short for the request to be sent to a target.
+  bool HasConfiguration(std::size_t node, std::uint64_t version) {
+    HttpCall call;
+    call.base_url_ = "http://" + fleet_.Vms()[node].host_ + ":7001";
+    call.request_ = {"GET",
+                     Fleet::VersionPath(version) + "x",
+                     {{"Host", "soak.example"},
+                      {std::string(platform::kRequestIdHeader), "probe"},
+                      {std::string(platform::kRemainingTimeHeader), "1"}},
+                     {}};
+    const HttpResult result = Get(std::move(call));
+    return result.response_ && result.response_.value().status_ != kNotFound;
+  }
+
+  /// Probes the node until the configuration is in force there or the limit has passed.
+  bool AwaitConfiguration(std::size_t node, std::uint64_t version, milliseconds limit) {
+    const BootTime end = BootClock::now() + limit;
+    while (BootClock::now() < end) {
+      if (HasConfiguration(node, version)) {
+        return true;
+      }
+      RunFor(kProbeInterval);
+    }
+    return false;
+  }
+
+  int network_ = kFirstNetwork + fleets_started++;
+  std::filesystem::path directory_ =
+      std::filesystem::temp_directory_path() / ("sassafrasbay-fleet-" + std::to_string(network_));
+  ReactorLoop loop_;
+  Ledger ledger_;
+  std::mt19937_64 random_{1};
+  Fleet fleet_{loop_, ledger_, random_, network_, directory_};
+  HttpClient client_{loop_, 1};
+};
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationInForce, FleetFixture)
+
+// Guards against a configuration in force too late because the nodes that read the store for the
+// others, and the next ones in their place, have silently lost it.
+BOOST_AUTO_TEST_CASE(NodeThatReachesTheStoreNeedsNoReader) {
+  const stand_ins::ProxyFaults silent{true, true};
+  const std::size_t last = fleet_.Vms().size() - 1;
+  for (std::size_t node = 0; node < last; ++node) {
+    fleet_.SetStoreFaults(node, silent);
+  }
+  const std::uint64_t version = fleet_.WriteConfiguration();
+  BOOST_TEST(AwaitConfiguration(last, version, kMaxConfigurationDelay));
+}
+
+// Guards against the same while the readers are frozen, so that nobody hears from them.
+BOOST_AUTO_TEST_CASE(FrozenReadersDontDelayAConfiguration) {
+  const std::size_t frozen = fleet_.Vms().size() / 2;
+  for (std::size_t node = 0; node < frozen; ++node) {
+    fleet_.Vms()[node].process_->Pause();
+  }
+  const std::uint64_t version = fleet_.WriteConfiguration();
+  BOOST_TEST(AwaitConfiguration(frozen, version, kMaxConfigurationDelay));
+  for (std::size_t node = 0; node < frozen; ++node) {
+    fleet_.Vms()[node].process_->Resume();
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sassafrasbay::soak
