router: Keep to the rate of requests that an upstream names

Cause: no part of the router read the header. An upstream's needs beyond its slots had no place in the admission.

The gate beside the upstream is the only way to it, so it keeps the limit for all nodes with one token bucket; nodes need no shares, and membership, restarts and cuts change nothing. Requests that run when the first limit is named count against it, so that a gate that has just started doesn't exceed it. The queue takes the limit into account for the order, for the time that a request may wait, and for Retry-After; reports state the slots that the limit leaves usable, and the demand report the lower capacity, so that other upstreams take the work.

--- a/Libraries/LibRouting/slot_queue.cc
+++ b/Libraries/LibRouting/slot_queue.cc
@@ -97,10 +97,20 @@
 
 }  // namespace
 
-milliseconds ExpectedWait(const SlotQueue& queue, std::size_t ahead) {
+milliseconds ExpectedWait(const SlotQueue& queue, std::size_t ahead, BootTime now) {
   const double slots = std::max<std::uint32_t>(queue.slots_, 1);
-  return milliseconds(
-      std::llround(queue.mean_service_ms_ * (static_cast<double>(ahead) + 1) / slots));
+  const double requests = static_cast<double>(ahead) + 1;
+  const milliseconds for_slot(std::llround(queue.mean_service_ms_ * requests / slots));
+  return std::max(for_slot, TimeToTokens(queue.rate_limit_, requests, now));
+}
+
+std::uint32_t UsableSlots(const SlotQueue& queue) {
+  if (!queue.rate_limit_.per_second_) {
+    return queue.slots_;
+  }
+  const double in_use = std::ceil(*queue.rate_limit_.per_second_ * queue.mean_service_ms_ / 1000);
+  return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(in_use), 1,
+                                   std::max<std::uint32_t>(queue.slots_, 1));
 }
 
 SlotVerdict OfferRequest(SlotQueue& queue, const SlotRequest& request, BootTime now) {
@@ -111,12 +121,12 @@
   const auto position =
       std::upper_bound(queue.waiting_.begin(), queue.waiting_.end(), request, RunsBefore);
   const auto ahead = static_cast<std::size_t>(position - queue.waiting_.begin());
-  if (queue.running_ < queue.slots_ && ahead == 0) {
+  if (queue.running_ < queue.slots_ && ahead == 0 && TakeToken(queue.rate_limit_, now)) {
     ++queue.running_;
     verdict.decision_ = SlotDecision::kRun;
     return verdict;
   }
-  verdict.expected_wait_ = ExpectedWait(queue, ahead);
+  verdict.expected_wait_ = ExpectedWait(queue, ahead, now);
   if (!MayWait(queue, request, static_cast<double>(verdict.expected_wait_.count()), now)) {
     return verdict;
   }
@@ -128,7 +138,7 @@
   // The requests behind the new one now wait longer, which may be too long for the last of them.
   while (!queue.waiting_.empty()) {
     const SlotRequest& last = queue.waiting_.back();
-    const milliseconds wait = ExpectedWait(queue, queue.waiting_.size() - 1);
+    const milliseconds wait = ExpectedWait(queue, queue.waiting_.size() - 1, now);
     if (last.number_ == request.number_ ||
         (now + wait <= last.wait_deadline_ && CanFinish(queue, last, now + wait))) {
       break;
@@ -160,7 +170,7 @@
   const auto next =
       std::find_if(queue.waiting_.begin(), queue.waiting_.end(),
                    [&](const SlotRequest& request) { return CanFinish(queue, request, now); });
-  if (next == queue.waiting_.end()) {
+  if (next == queue.waiting_.end() || !TakeToken(queue.rate_limit_, now)) {
     return std::nullopt;
   }
   SlotRequest request = std::move(*next);
--- a/Libraries/LibRouting/slot_queue.h
+++ b/Libraries/LibRouting/slot_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibCore/clock.h"
+#include "LibRouting/rate_limit.h"
 
 namespace sassafrasbay {
 
@@ -30,6 +31,7 @@
   std::map<std::string, double, std::less<>> service_ms_;  ///< Smoothed service time by class.
   double mean_service_ms_ = 0;          ///< Smoothed service time of all classes.
   double mean_square_service_ms2_ = 0;  ///< Smoothed square of the service times.
+  RateLimit rate_limit_;                ///< Named by the upstream; each request takes a token.
 };
 
 enum class SlotDecision : std::uint8_t { kRun, kWait, kRefuse };
@@ -62,6 +64,9 @@
 bool RemoveWaiting(SlotQueue& queue, std::uint64_t number);
 
 /// Expected time until a new request gets a slot when `ahead` others are before it.
-milliseconds ExpectedWait(const SlotQueue& queue, std::size_t ahead);
+milliseconds ExpectedWait(const SlotQueue& queue, std::size_t ahead, BootTime now);
+
+/// Slots that the upstream's rate limit leaves in use at the mean service time; at least 1.
+std::uint32_t UsableSlots(const SlotQueue& queue);
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -47,7 +47,7 @@
 }  // namespace
 
 UpstreamGate::UpstreamGate(ReactorLoop& loop, RouterShared& shared)
-    : shared_(shared), client_(loop) {
+    : loop_(loop), shared_(shared), client_(loop) {
   link_.bytes_per_second_ = shared_.environment_.link_bytes_per_second_;
 }
 
@@ -65,6 +65,7 @@
     last_sampled_.clear();
     queue_.mean_service_ms_ = 0;
     success_ratio_ = 1;
+    SetRateLimit(std::nullopt);
     refused_until_ = {};
   }
   upstream_ = upstream;
@@ -82,7 +83,7 @@
 }
 
 GateLoad UpstreamGate::Load() const {
-  return {IsUsable() ? queue_.slots_ : 0, queue_.running_,
+  return {IsUsable() ? UsableSlots(queue_) : 0, queue_.running_,
           static_cast<std::uint32_t>(queue_.waiting_.size())};
 }
 
@@ -124,6 +125,9 @@
       queue_.mean_service_ms_ > 0 ? queue_.mean_service_ms_ : kDefaultServiceMs;
   report.capacity_per_second_ =
       queue_.slots_ * 1000.0 / service_ms * std::max(success_ratio_, kMinSuccessRatio);
+  if (const auto& rate = queue_.rate_limit_.per_second_) {
+    report.capacity_per_second_ = std::min(report.capacity_per_second_, *rate);
+  }
   report.pieces_ = PartitionKeyLoad(key_load_, kMaxDemandRanges);
   return report;
 }
@@ -219,8 +223,10 @@
     Refuse(number, RefusalReason::kFull, verdict.expected_wait_);
   }
   for (const SlotRequest& displaced : verdict.displaced_) {
-    Refuse(displaced.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
+    Refuse(displaced.number_, RefusalReason::kFull,
+           ExpectedWait(queue_, queue_.waiting_.size(), now));
   }
+  ScheduleAdmission();
   return number;
 }
 
@@ -254,6 +260,7 @@
     answer.outcome_ = result.maybe_sent_ ? GateOutcome::kUnknown : GateOutcome::kRefused;
     answer.reason_ = RefusalReason::kNoUpstream;
   } else {
+    SetRateLimit(platform::ReadRateLimit(result.response_.value()));
     const platform::ExecutionStatus verdict =
         platform::ReadExecutionStatus(result.response_.value());
     answer.outcome_ = verdict.executed_ ? GateOutcome::kAnswered : GateOutcome::kRejected;
@@ -336,6 +343,7 @@
           " upstream=" + (upstream_ == nullptr ? std::string("-") : upstream_->holder_.instance_) +
           " slots=" + std::to_string(queue_.slots_) + " running=" +
           std::to_string(queue_.running_) + " waiting=" + std::to_string(queue_.waiting_.size()) +
+          " rate_limit=" + std::to_string(queue_.rate_limit_.per_second_.value_or(0)) +
           " waited_ms=" + std::to_string(DurationBetween(open.received_at_, now).count()) +
           " left_ms=" + std::to_string(DurationBetween(now, open.deadline_).count()) +
           " grant_left_ms=" +
@@ -358,7 +366,8 @@
 void UpstreamGate::AdmitWaiting() {
   const BootTime now = BootClock::now();
   for (const SlotRequest& overdue : TakeOverdue(queue_, now)) {
-    Refuse(overdue.number_, RefusalReason::kFull, ExpectedWait(queue_, queue_.waiting_.size()));
+    Refuse(overdue.number_, RefusalReason::kFull,
+           ExpectedWait(queue_, queue_.waiting_.size(), now));
   }
   while (const auto next = TakeWaiting(queue_, now)) {
     const RefusalReason reason = CheckAdmission(open_requests_.at(next->number_).request_);
@@ -370,6 +379,37 @@
     FreeSlot(queue_, next->class_, std::nullopt);
     Refuse(next->number_, reason, milliseconds(0));
   }
+  ScheduleAdmission();
+}
+
+void UpstreamGate::ScheduleAdmission() {
+  if (admission_timer_ != 0 || queue_.waiting_.empty() || queue_.running_ >= queue_.slots_) {
+    return;
+  }
+  const milliseconds delay = TimeToTokens(queue_.rate_limit_, 1, BootClock::now());
+  if (delay.count() == 0) {
+    return;
+  }
+  admission_timer_ = loop_.StartTimer(delay, [this] {
+    admission_timer_ = 0;
+    AdmitWaiting();
+  });
+}
+
+// All requests to the upstream pass this gate, so that its limit on the requests of all nodes
+// together needs no shares.
+void UpstreamGate::SetRateLimit(std::optional<double> per_second) {
+  const std::optional<double> previous = queue_.rate_limit_.per_second_;
+  SetRate(queue_.rate_limit_, per_second, queue_.running_, BootClock::now());
+  const std::optional<double> limit = queue_.rate_limit_.per_second_;
+  if (limit == previous) {
+    return;
+  }
+  shared_.metrics_.SetGauge("sassafrasbay_upstream_rate_limit", {}, limit.value_or(0));
+  if (limit.has_value() != previous.has_value()) {
+    LogInfo(kPart, "upstream=" + upstream_->holder_.instance_ + " rate_limit=" +
+                       (limit ? std::to_string(*limit) + " per second." : "none."));
+  }
 }
 
 void UpstreamGate::StopAdmitting() {
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -90,8 +90,13 @@
   void Refuse(RequestNumber number, RefusalReason reason, milliseconds retry_after);
   void Answer(const OpenRequest& open, ForwardedAnswer answer);
   void AdmitWaiting();
+  /// Starts a timer for the next token of the rate limit when requests wait for it.
+  void ScheduleAdmission();
+  /// Takes over the rate limit that a response of the upstream names.
+  void SetRateLimit(std::optional<double> per_second);
   void ConfirmCrash(std::string_view evidence);
 
+  ReactorLoop& loop_;
   RouterShared& shared_;
   Hooks hooks_;
   UpstreamClient client_;
@@ -108,6 +113,7 @@
   std::vector<std::pair<std::uint64_t, BootTime>> broken_requests_;
   BootTime refused_until_{};  ///< Backoff after a refused connection.
   RequestNumber last_request_number_ = 0;
+  ReactorLoop::TimerId admission_timer_ = 0;
   bool stopped_admitting_ = false;
   std::optional<BootTime> shutdown_deadline_;  ///< Set once the process is shutting down.
 };
--- a/Tests/LibRouting/test_slot_queue.cc
+++ b/Tests/LibRouting/test_slot_queue.cc
@@ -52,7 +52,51 @@
     refused += verdict.decision_ == SlotDecision::kRefuse ? 1 : 0;
   }
   BOOST_TEST(waiting + refused == 200);
-  BOOST_TEST(ExpectedWait(queue, queue.waiting_.size()).count() < 300);
+  BOOST_TEST(ExpectedWait(queue, queue.waiting_.size(), At(0)).count() < 300);
+}
+
+// Load: an upstream with free slots that takes 10 requests a second. Requests wait for its rate,
+// the urgent ones first, and the others are refused at once.
+BOOST_AUTO_TEST_CASE(RateLimitedQueueRunsUrgentRequestsFirst) {
+  SlotQueue queue;
+  queue.slots_ = 20;
+  SetRate(queue.rate_limit_, 10, 0, At(0));
+  int waiting = 0;
+  for (std::uint64_t number = 1; number <= 50; ++number) {
+    const SlotVerdict verdict =
+        OfferRequest(queue, Request(number, number == 3 ? 0 : 1, 800, 1000), At(0));
+    waiting += verdict.decision_ == SlotDecision::kWait ? 1 : 0;
+    BOOST_TEST((verdict.decision_ != SlotDecision::kRun));
+  }
+  BOOST_TEST(waiting > 0);
+  BOOST_TEST(waiting <= 10);
+  BOOST_TEST(!TakeWaiting(queue, At(50)).has_value());
+  BOOST_TEST(TakeWaiting(queue, At(101))->number_ == 3);
+  BOOST_TEST(!TakeWaiting(queue, At(102)).has_value());
+}
+
+// Requests that were sent before the limit was known count against it.
+BOOST_AUTO_TEST_CASE(RateLimitCountsRunningRequests) {
+  RateLimit limit;
+  SetRate(limit, 10, 13, At(0));
+  BOOST_TEST(!TakeToken(limit, At(1000)));
+  BOOST_TEST((TimeToTokens(limit, 1, At(1000)) == milliseconds(400)));
+  BOOST_TEST(TakeToken(limit, At(1400)));
+  SetRate(limit, 20, 0, At(1400));
+  BOOST_TEST(!TakeToken(limit, At(1440)));
+  BOOST_TEST(TakeToken(limit, At(1451)));
+  SetRate(limit, std::nullopt, 0, At(1451));
+  BOOST_TEST(TakeToken(limit, At(1451)));
+}
+
+// Of an upstream with 20 slots, 100 ms a request and a limit of 50 a second, 5 slots can be in use.
+BOOST_AUTO_TEST_CASE(RateLimitLeavesFewerSlotsUsable) {
+  SlotQueue queue = FullQueue(20);
+  BOOST_TEST(UsableSlots(queue) == 20U);
+  SetRate(queue.rate_limit_, 50, 0, At(0));
+  BOOST_TEST(UsableSlots(queue) == 5U);
+  SetRate(queue.rate_limit_, 0, 0, At(0));
+  BOOST_TEST(UsableSlots(queue) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(QueueIsOrderedByRankThenDeadline) {
--- a/Tests/Services/test_upstream_gate.cc
+++ b/Tests/Services/test_upstream_gate.cc
@@ -14,7 +14,11 @@
         HttpServerBuilder(loop_)
             .OnRequest([this](const std::shared_ptr<HttpExchange>& exchange) {
               const auto id = FindHeader(exchange->Request().headers_, "X-Request-Id");
+              ++arrivals_;
               HttpResponse answer{200, {{"X-Request-Id", std::string(id)}}, "done"};
+              if (!rate_limit_.empty()) {
+                answer.headers_.emplace_back("Server-Limit", rate_limit_);
+              }
               loop_.StartTimer(service_time_, [exchange, answer] { exchange->Respond(answer); });
             })
             .Build()
@@ -48,6 +52,8 @@
   UpstreamGate gate_{loop_, shared_};
   std::unique_ptr<HttpServer> server_;
   milliseconds service_time_{100};
+  std::string rate_limit_;  ///< Named in the upstream's responses; empty for none.
+  int arrivals_ = 0;
   std::map<std::string, ForwardedAnswer> answers_;
 };
 
@@ -77,6 +83,40 @@
   BOOST_TEST((answers_.at("second").outcome_ == GateOutcome::kRefused));
 }
 
+// Guards against an upstream that gets far more requests than the limit that it has named (LIMIT).
+// Load: forty times the limit, from whichever nodes.
+BOOST_AUTO_TEST_CASE(UpstreamGetsNoMoreRequestsThanItsLimit) {
+  constexpr double kLimit = 25;
+  constexpr milliseconds kWindow{4000};
+  rate_limit_ = "25.0";
+  service_time_ = milliseconds(5);
+  Submit("first");
+  RunFor(milliseconds(100));
+  arrivals_ = 0;
+  int sent = 0;
+  const ReactorLoop::TimerId timer =
+      loop_.StartRepeatingTimer(milliseconds(1), [&] { Submit(std::to_string(++sent)); });
+  RunFor(kWindow);
+  loop_.CancelTimer(timer);
+  const double allowed = kLimit * std::chrono::duration<double>(kWindow).count();
+  BOOST_TEST(arrivals_ <= 1.5 * allowed + 5);
+  BOOST_TEST(arrivals_ >= 0.8 * allowed);
+  // Requests that the limit leaves no time for are refused at once, with the time to come back.
+  const ForwardedAnswer& refused = answers_.at(std::to_string(sent));
+  BOOST_TEST((refused.outcome_ == GateOutcome::kRefused));
+  BOOST_TEST(refused.retry_after_ms_ > 0);
+  // A response without a limit ends it.
+  rate_limit_.clear();
+  Submit("unlimited");
+  RunFor(milliseconds(6000));
+  arrivals_ = 0;
+  for (int i = 0; i < 100; ++i) {
+    Submit("after " + std::to_string(i));
+  }
+  RunFor(milliseconds(1500));
+  BOOST_TEST(arrivals_ == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/Tests/platform/test_request_translation.cc
+++ b/Tests/platform/test_request_translation.cc
@@ -76,6 +76,18 @@
   BOOST_TEST(FindHeader(response.headers_, "Retry-After") == "0.120");
 }
 
+BOOST_AUTO_TEST_CASE(RateLimitIsADecimalNumber) {
+  const auto read = [](const char* value) {
+    return ReadRateLimit({200, {{"Server-Limit", value}}, {}});
+  };
+  BOOST_TEST(read("34.6").value() == 34.6);
+  BOOST_TEST(read("0").value() == 0);
+  for (const char* invalid : {"", "-1", "nan", "inf", "1e999", "12 a second"}) {
+    BOOST_TEST(!read(invalid).has_value(), invalid);
+  }
+  BOOST_TEST(!ReadRateLimit({200, {}, {}}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
