LibTransport: Never send a request twice on one connection

A binding request that had run was answered 503, not run (REFUSED), or ran at a second upstream (TWICE), when the upstream wrote an earlier rejection of it once more: the request had been sent again under its id on the same kept connection, where the late copy passed for the response to the second attempt. Responses are told apart by the id alone, so two attempts on one connection can't be.

A connection remembers the ids that were answered with an error there, which are the ones that may be sent again, and isn't used for them. At 256 of them it is closed.

ARejectedRequestIsSentAgainOnAnotherConnection fails before (421 in place of the response of the run). ResponsesThatEndWithinTheirHeadAreErrors answers a report about short successes and passed before as well: it can't happen here.

--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -35,6 +36,12 @@
 /// Maximum number of repeated responses to an earlier request that are skipped for one request.
 constexpr int kMaxSkippedResponses = 4;
 
+/// Maximum number of failed responses on a connection that is kept. Their correlation values take
+/// memory.
+constexpr std::size_t kMaxFailedResponses = 256;
+
+constexpr int kFirstErrorStatus = 400;
+
 struct Connection {
   int socket_ = -1;
   bool connecting_ = true;
@@ -46,7 +53,9 @@
   std::optional<ResponseReader> reader_;
   BootTime reuse_deadline_{};
   std::string previous_correlation_value_;  ///< Of the request before; empty on a new connection.
-  int skipped_responses_ = 0;               ///< Repeated responses to the request before.
+  /// Of requests that were answered with an error here, and may therefore be sent again.
+  std::set<std::string> failed_correlation_values_;
+  int skipped_responses_ = 0;  ///< Repeated responses to the request before.
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -105,7 +114,8 @@
   Impl& operator=(const Impl&) = delete;
 
   CallId Start(UpstreamCall call, Callback callback);
-  ConnectionPointer TakeIdleConnection();
+  /// Returns a connection that may be used for a request with this correlation value, or null.
+  ConnectionPointer TakeIdleConnection(const std::string& correlation_value);
   ConnectionPointer Open(CallId id);
   void Watch(const ConnectionPointer& connection);
   void OnReady(const ConnectionPointer& connection, unsigned ready);
@@ -159,7 +169,7 @@
       Finish(id, {error, false, false});
     }
   });
-  ConnectionPointer connection = TakeIdleConnection();
+  ConnectionPointer connection = TakeIdleConnection(open.expected_correlation_value_);
   if (connection == nullptr) {
     connection = Open(id);
   }
@@ -182,11 +192,15 @@
   return id;
 }
 
-ConnectionPointer UpstreamClient::Impl::TakeIdleConnection() {
+ConnectionPointer UpstreamClient::Impl::TakeIdleConnection(const std::string& correlation_value) {
   const BootTime now = BootClock::now();
-  while (!idle_connections_.empty()) {
-    ConnectionPointer connection = idle_connections_.back();
-    idle_connections_.pop_back();
+  for (std::size_t i = idle_connections_.size(); i-- > 0;) {
+    ConnectionPointer connection = idle_connections_[i];
+    // A late copy of the earlier response would pass for the response to this attempt.
+    if (connection->failed_correlation_values_.contains(correlation_value)) {
+      continue;
+    }
+    idle_connections_.erase(idle_connections_.begin() + static_cast<std::ptrdiff_t>(i));
     // A connection on which data or an end of stream has arrived while idle can't be reused.
     char byte = 0;
     const ssize_t count = recv(connection->socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -366,6 +380,7 @@
   const CallId id = connection->call_;
   OpenCall& open = calls_.at(id);
   const bool reusable = connection->reader_->IsKeepAlive() && extra_bytes.empty() &&
+                        connection->failed_correlation_values_.size() < kMaxFailedResponses &&
                         !connection->ended_ && connection->skipped_responses_ == 0 &&
                         connection->sent_ == connection->output_.size();
   HttpResponse response = connection->reader_->TakeResponse();
@@ -388,6 +403,9 @@
   connection->reader_.reset();
   if (reusable) {
     connection->previous_correlation_value_ = open.expected_correlation_value_;
+    if (response.status_ >= kFirstErrorStatus && !open.expected_correlation_value_.empty()) {
+      connection->failed_correlation_values_.insert(open.expected_correlation_value_);
+    }
     connection->reuse_deadline_ = BootClock::now() + IdleTimeout(response);
     idle_connections_.push_back(connection);
   } else {
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -232,6 +232,39 @@
   BOOST_TEST(upstream_.connections_ == 2);
 }
 
+// Guards against a binding request that runs and is reported as not run (REFUSED), or runs at a
+// second upstream (TWICE): it was rejected, and sent again with its id on the same connection,
+// where a late copy of the rejection passed for its response.
+BOOST_AUTO_TEST_CASE(ARejectedRequestIsSentAgainOnAnotherConnection) {
+  upstream_.answer_ = [this](int number, const std::string& id) {
+    const std::string rejection =
+        "HTTP/1.1 421 Misdirected\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+    const bool sends_copy = number == 2 && upstream_.connections_ == 1;
+    return number == 1 ? rejection : (sends_copy ? rejection : "") + Ok(id, "has run");
+  };
+  BOOST_TEST(Call("POST", "1").response_.value().status_ == 421);
+  BOOST_TEST(Call("POST", "1").response_.value().status_ == 200);
+  BOOST_TEST(upstream_.connections_ == 2);
+  BOOST_TEST(Call("POST", "2").response_.value().status_ == 200);
+  BOOST_TEST(upstream_.connections_ == 2);
+}
+
+// Guards against an empty or short success when the upstream stops within the head of its response.
+BOOST_AUTO_TEST_CASE(ResponsesThatEndWithinTheirHeadAreErrors) {
+  upstream_.close_after_answer_ = true;
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n"}) {
+    for (std::size_t length = 1; length < head.size(); ++length) {
+      upstream_.answer_ = [&](int, const std::string&) {
+        return std::optional(head.substr(0, length));
+      };
+      BOOST_TEST(!Call("GET", "1").response_.has_value(), head.substr(0, length));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CopiesWithoutEndAreAnError) {
   upstream_.answer_ = [](int number, const std::string& id) {
     std::string bytes;
