router: Treat an upstream as draining when its responses say so

An upstream that leaves says so in the header Server-Leaving of all its responses; requests may reach it only for the drain timeout after that (DRAIN). The router read only heartbeats and leave calls, which may come later or not at all.

The gate passes the announcement on to the control thread, which records it like the state draining of a heartbeat, with the time of the first such response.

--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -90,6 +90,15 @@
   return true;
 }
 
+bool RecordDraining(UpstreamRegistry& registry, const Holder& holder, BootTime since) {
+  if (registry.local_upstream_.holder_ != holder || registry.draining_since_) {
+    return false;
+  }
+  registry.local_upstream_.draining_ = true;
+  registry.draining_since_ = since;
+  return true;
+}
+
 bool RecordConnectionRefusal(UpstreamRegistry& registry, BootTime now,
                              milliseconds heartbeat_interval) {
   if (registry.local_upstream_.has_exited_ || !registry.local_upstream_.holder_ ||
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "LibOwnership/heartbeat.h"
@@ -40,6 +41,10 @@
 /// Records that an instance leaves. Returns false when it isn't the current one.
 bool RecordLeave(UpstreamRegistry& registry, std::string_view instance, BootTime now);
 
+/// Records that an incarnation drains or leaves, as other nodes or its responses say, since
+/// `since`. Returns false when that changes nothing now.
+bool RecordDraining(UpstreamRegistry& registry, const Holder& holder, BootTime since);
+
 /// Records that the upstream's port refuses connections. The upstream is considered exited only
 /// when its heartbeats are overdue too, since an upstream with too many connections also refuses
 /// them. Returns true when that changes its state.
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -52,6 +52,17 @@
   ScheduleUpdate();
 }
 
+void ControlThread::OnLeavingUpstream(const Holder& holder, BootTime since,
+                                      std::string_view source) {
+  if (!RecordDraining(registry_, holder, since)) {
+    return;
+  }
+  LogInfo(kPart,
+          "upstream=" + holder.instance_ + " state=draining source=" + std::string(source) + ".");
+  Publish();
+  ScheduleUpdate();
+}
+
 void ControlThread::OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange,
                                 std::string_view instance) {
   auto heartbeat = platform::DecodeHeartbeat(instance, exchange->Request().body_);
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -120,6 +120,9 @@
       }
     });
   };
+  callbacks.upstream_leaving_ = [this](const Holder& holder) {
+    loop_.Post([this, holder] { OnLeavingUpstream(holder, BootClock::now(), "response"); });
+  };
   return callbacks;
 }
 
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -80,6 +80,8 @@
   void OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange);
   void OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange, std::string_view instance);
   void OnLeave(std::string_view instance);
+  /// Takes over from a response or a peer that the local upstream leaves.
+  void OnLeavingUpstream(const Holder& holder, BootTime since, std::string_view source);
   void AnswerPendingHeartbeats();
   HeartbeatAnswer MakeHeartbeatAnswer() const;
   bool ShouldDelayAnswer() const;
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -81,6 +81,8 @@
   std::function<void(TableRecord)> record_received_;
   std::function<void(DemandReport)> demand_received_;
   std::function<void()> upstream_connection_refused_;  ///< By the local upstream.
+  /// A response of the local upstream announces that it leaves.
+  std::function<void(Holder)> upstream_leaving_;
 };
 
 /// Callbacks from the control thread to the traffic thread; each posts to the traffic thread.
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -71,6 +71,7 @@
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
   gate_.SetHooks({[this] { control_.upstream_connection_refused_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); },
+                  [this](const Holder& holder) { control_.upstream_leaving_(holder); },
                   [this] { return links_.PendingBulkBytes(); }});
   const platform::NodeEnvironment& environment = shared_.environment_;
   auto callers = HttpServerBuilder(loop_)
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -264,6 +264,10 @@
     const platform::ExecutionStatus verdict =
         platform::ReadExecutionStatus(result.response_.value());
     answer.outcome_ = verdict.executed_ ? GateOutcome::kAnswered : GateOutcome::kRejected;
+    if (!verdict.misdirected_ && upstream_->accepts_requests_ &&
+        platform::AnnouncesLeaving(result.response_.value())) {
+      hooks_.on_leaving_(upstream_->holder_);
+    }
     answer.reason_ = verdict.misdirected_ ? RefusalReason::kNotOwner : RefusalReason::kFull;
     if (!verdict.executed_) {
       LogInfo(kPart, "request=" + open.request_.request_id_ +
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -30,6 +30,8 @@
   struct Hooks {
     std::function<void()> on_connection_refused_;
     std::function<void(const Suspect&)> on_suspect_;  ///< For broadcast to other nodes.
+    /// Called when a response announces that the upstream leaves.
+    std::function<void(const Holder&)> on_leaving_ = [](const Holder&) {};
     /// Bytes of responses that wait for the link.
     std::function<std::size_t()> pending_bulk_bytes_ = [] { return std::size_t{0}; };
   };
--- a/Tests/Services/test_upstream_gate.cc
+++ b/Tests/Services/test_upstream_gate.cc
@@ -19,6 +19,9 @@
               if (!rate_limit_.empty()) {
                 answer.headers_.emplace_back("Server-Limit", rate_limit_);
               }
+              if (leaving_) {
+                answer.headers_.emplace_back("Server-Leaving", "1");
+              }
               loop_.StartTimer(service_time_, [exchange, answer] { exchange->Respond(answer); });
             })
             .Build()
@@ -53,6 +56,7 @@
   std::unique_ptr<HttpServer> server_;
   milliseconds service_time_{100};
   std::string rate_limit_;  ///< Named in the upstream's responses; empty for none.
+  bool leaving_ = false;    ///< The upstream's responses say that it leaves.
   int arrivals_ = 0;
   std::map<std::string, ForwardedAnswer> answers_;
 };
@@ -117,6 +121,22 @@
   BOOST_TEST(arrivals_ == 100);
 }
 
+// Guards against requests to an upstream that has announced its leaving in its responses only
+// (DRAIN).
+BOOST_AUTO_TEST_CASE(LeavingThatAResponseAnnouncesIsReported) {
+  std::vector<std::string> leaving;
+  UpstreamGate::Hooks hooks;
+  hooks.on_leaving_ = [&](const Holder& holder) { leaving.push_back(holder.instance_); };
+  gate_.SetHooks(std::move(hooks));
+  Submit("ready");
+  RunFor(milliseconds(200));
+  BOOST_TEST(leaving.empty());
+  leaving_ = true;
+  Submit("leaving");
+  RunFor(milliseconds(200));
+  BOOST_TEST(leaving == std::vector<std::string>{"i-a"}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
