router: Remember at all nodes that an upstream leaves

Reports say that an upstream drains or leaves, and every node remembers the incarnation until it hears of another one. It sends nothing to it after the drain limit, whatever a restarted process reports, and reminds that process in its reports. With the store away nothing changes, as the store isn't asked.

--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -45,7 +45,11 @@
     registry.draining_since_.reset();
     effect = HeartbeatEffect::kNewIncarnation;
   }
-  const bool draining = upstream.draining_ || heartbeat.draining_;
+  const bool drains_early = registry.early_drain_ && registry.early_drain_->first == holder;
+  if (drains_early && !registry.draining_since_) {
+    registry.draining_since_ = registry.early_drain_->second;
+  }
+  const bool draining = upstream.draining_ || heartbeat.draining_ || drains_early;
   const bool left = upstream.has_left_ || registry.early_leaves_.erase(heartbeat.instance_) > 0;
   if (effect == HeartbeatEffect::kUnchanged &&
       (draining != upstream.draining_ || left != upstream.has_left_ || upstream.has_exited_ ||
@@ -91,7 +95,11 @@
 }
 
 bool RecordDraining(UpstreamRegistry& registry, const Holder& holder, BootTime since) {
-  if (registry.local_upstream_.holder_ != holder || registry.draining_since_) {
+  if (registry.local_upstream_.holder_ != holder) {
+    registry.early_drain_ = {holder, since};
+    return false;
+  }
+  if (registry.draining_since_) {
     return false;
   }
   registry.local_upstream_.draining_ = true;
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -24,6 +24,9 @@
   bool has_granted_ = false;  ///< Whether the current incarnation has been answered with a grant.
   /// When the current incarnation began to drain or leave.
   std::optional<BootTime> draining_since_;
+  /// Incarnation that drains according to another node or to its own responses, before its first
+  /// heartbeat to this process.
+  std::optional<std::pair<Holder, BootTime>> early_drain_;
 };
 
 /// What a heartbeat changes in the registry.
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -102,7 +102,10 @@
   value["ui"] = message.upstream_.instance_;
   value["ub"] = message.upstream_.born_ms_;
   value["uk"] = message.upstream_.accepts_keys_;
+  value["ul"] = message.upstream_.leaving_;
   value["lv"] = message.leaving_;
+  value["li"] = message.leaving_instance_;
+  value["lb"] = message.leaving_born_ms_;
   value["pr"] = message.promises_;
   return SerializeFrame(value);
 }
@@ -200,7 +203,10 @@
   message.upstream_.instance_ = TakeText(reader, "ui");
   Read(reader, "ub", message.upstream_.born_ms_);
   message.upstream_.accepts_keys_ = TakeFlag(reader, "uk");
+  message.upstream_.leaving_ = TakeFlag(reader, "ul");
   message.leaving_ = TakeFlag(reader, "lv");
+  message.leaving_instance_ = TakeText(reader, "li");
+  Read(reader, "lb", message.leaving_born_ms_);
   message.promises_ = TakeFlag(reader, "pr");
   for (Cbor& item : TakeArray(reader, "st")) {
     FieldReader fields = MakeReader(item, reader);
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -83,6 +83,7 @@
   std::string instance_;
   std::int64_t born_ms_ = 0;   ///< Unix time of the incarnation's start.
   bool accepts_keys_ = false;  ///< The upstream is ready, and neither draining nor leaving.
+  bool leaving_ = false;       ///< The upstream drains or leaves.
 };
 
 /// Smoothed service time of the sender's upstream for one class of requests.
@@ -110,6 +111,10 @@
   std::vector<ServiceTime> service_times_;
   UpstreamSummary upstream_;
   bool leaving_ = false;  ///< The process of the sender is about to end.
+  /// Incarnation of the upstream beside the receiver that the sender knows to leave; an empty
+  /// instance if none.
+  std::string leaving_instance_;
+  std::int64_t leaving_born_ms_ = 0;
   /// Whether the report carries a takeover promise to the receiver, see TakeoverPromises.
   bool promises_ = false;
 };
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -20,9 +20,6 @@
 /// Interval of decisions that no event triggers, for example after a delay has ended.
 constexpr milliseconds kDecisionInterval{100};
 
-/// A draining upstream gets requests until this long before the operators' limit on draining.
-constexpr milliseconds kDrainMargin{500};
-
 /// Maximum age of the last confirmation of the tables with which this node counts as reaching the
 /// store.
 constexpr milliseconds kMaxConfirmationAge{2000};
@@ -244,6 +241,12 @@
         [this, end = report.tables_end_] { return fleet_topic_.End() >= end; });
   }
   OnReportedConfiguration(report);
+  // This process may have been restarted since its upstream announced that it leaves. When that
+  // was isn't known, so no time is left.
+  if (!report.leaving_instance_.empty()) {
+    OnLeavingUpstream({shared_.self_, report.leaving_instance_, report.leaving_born_ms_},
+                      BootClock::now() - shared_.environment_.drain_limit_, "peer");
+  }
   const std::string address = report.address_;
   const auto known = peers_.find(address);
   const bool upstream_changed =
@@ -365,7 +368,8 @@
     upstream->service_ = registry_.newest_->service_;
     upstream->address_ = shared_.environment_.upstream_;
     upstream->slots_ = own.slots_;
-    upstream->accepts_requests_ = !own.draining_ && !own.has_left_ && !own.has_exited_;
+    upstream->leaving_ = own.draining_ || own.has_left_;
+    upstream->accepts_requests_ = !upstream->leaving_ && !own.has_exited_;
     upstream->drain_deadline_ =
         registry_.draining_since_
             ? *registry_.draining_since_ + shared_.environment_.drain_limit_ - kDrainMargin
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -56,6 +56,10 @@
   peer.latest_report_ = received_report;
   peer.load_ = received_report.report_.load_;
   peer.open_requests_at_load_ = peer.open_requests_;
+  const UpstreamSummary& upstream = received_report.report_.upstream_;
+  RecordReport(leaving_upstreams_,
+               {received_report.report_.address_, upstream.instance_, upstream.born_ms_},
+               upstream.leaving_, received_report.received_at_);
 }
 
 void RequestRouter::Handle(const std::shared_ptr<HttpExchange>& exchange) {
@@ -151,13 +155,11 @@
          peer->second.latest_report_.report_.load_.slots_ == 0;
 }
 
-std::string RequestRouter::FindOwnerNode(const Pending& pending) const {
+const Holder* RequestRouter::FindOwner(const Pending& pending) const {
   const KeyTable* table = FindTable(snapshot_->records_, pending.service_);
-  if (table == nullptr) {
-    return {};
-  }
-  const KeyRange* range = FindRange(*table, *pending.request_.shard_key_);
-  return range == nullptr ? std::string() : range->owner_.node_;
+  const KeyRange* range =
+      table == nullptr ? nullptr : FindRange(*table, *pending.request_.shard_key_);
+  return range == nullptr || range->owner_.node_.empty() ? nullptr : &range->owner_;
 }
 
 std::vector<UpstreamCandidate> RequestRouter::FindCandidates(const Pending& pending) const {
@@ -175,7 +177,10 @@
     const NodeReport& report = peer.latest_report_.report_;
     if (report.upstream_.service_ != pending.service_ || peer.load_.slots_ == 0 ||
         report.leaving_ || peer.latest_report_.received_at_ <= alive_since ||
-        pending.tried_nodes_.contains(address)) {
+        pending.tried_nodes_.contains(address) ||
+        HasDrained(leaving_upstreams_,
+                   {address, report.upstream_.instance_, report.upstream_.born_ms_},
+                   milliseconds(0), BootClock::now())) {
       continue;
     }
     const int since = std::max(0, peer.open_requests_ - peer.open_requests_at_load_);
@@ -201,11 +206,17 @@
     return;
   }
   if (pending.sharded_) {
-    const std::string node = FindOwnerNode(pending);
+    const Holder* owner = FindOwner(pending);
+    const std::string node = owner == nullptr ? std::string() : owner->node_;
     if (node.empty() || (node != shared_.self_ && !IsAlive(node))) {
       Refuse(number, node.empty() ? "no-owner" : "owner-unreachable");
       return;
     }
+    if (HasDrained(leaving_upstreams_, *owner, shared_.environment_.drain_limit_ - kDrainMargin,
+                   BootClock::now())) {
+      Refuse(number, "owner-leaving");
+      return;
+    }
     if (IsShuttingDown(node)) {
       Refuse(number, "owner-ending");
       return;
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibOwnership/leaving_upstreams.h"
 #include "LibRouting/node_messages.h"
 #include "LibRouting/retry.h"
 #include "LibRouting/send_throttle.h"
@@ -52,6 +53,11 @@
   void OnAnswer(ConnectionId connection, ForwardedAnswer answer);
   void OnLinkLost(const std::string& address, ConnectionId connection);
 
+  /// The upstream beside that node if it is known to leave, otherwise null.
+  const LeavingUpstreams::Entry* FindLeavingUpstream(std::string_view node) const {
+    return FindLeaving(leaving_upstreams_, node);
+  }
+
   /// Whether requests that were sent on the connection have no answer yet.
   bool AwaitsAnswers(ConnectionId connection) const;
 
@@ -97,7 +103,8 @@
 
   Result<Pending> Accept(const std::shared_ptr<HttpExchange>& exchange, HttpResponse& refusal);
   void Dispatch(std::uint64_t number);
-  std::string FindOwnerNode(const Pending& pending) const;
+  /// Owner of the request's key, or null.
+  const Holder* FindOwner(const Pending& pending) const;
   std::vector<UpstreamCandidate> FindCandidates(const Pending& pending) const;
   bool IsAlive(const std::string& node) const;
   bool IsShuttingDown(const std::string& node) const;
@@ -125,6 +132,7 @@
   std::shared_ptr<const RouterSnapshot> snapshot_;
   std::map<std::string, PeerState> peers_;  ///< By peer address.
   std::unordered_map<std::uint64_t, Pending> pending_;
+  LeavingUpstreams leaving_upstreams_;
   std::map<std::string, RetryBudget> budgets_;  ///< By service.
   std::uint64_t last_request_number_ = 0;
   std::mt19937_64 random_;
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -21,6 +21,9 @@
 
 namespace sassafrasbay {
 
+/// A draining upstream gets requests until this long before the operators' limit on draining.
+inline constexpr milliseconds kDrainMargin{500};
+
 /// A registered node of the system.
 struct Member {
   std::string address_;  ///< Peer address.
@@ -36,6 +39,7 @@
   std::string address_;
   std::uint32_t slots_ = 1;
   bool accepts_requests_ = false;  ///< Neither draining, leaving nor stopped.
+  bool leaving_ = false;           ///< Draining or leaving.
   /// End of the time for which a draining or leaving upstream still gets requests for keys that no
   /// other upstream holds yet.
   BootTime drain_deadline_{};
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -285,7 +285,7 @@
   if (snapshot_->upstream_ != nullptr) {
     const UpstreamState& upstream = *snapshot_->upstream_;
     report.upstream_ = {upstream.service_, upstream.holder_.instance_, upstream.holder_.born_ms_,
-                        upstream.accepts_requests_};
+                        upstream.accepts_requests_, upstream.leaving_};
   }
   return report;
 }
@@ -337,6 +337,9 @@
   const bool is_alive = last_report != reports_.end() &&
                         now - last_report->second.received_at_ < PresumedAliveTimeout(NodeCount());
   report.promises_ = is_alive && snapshot_->registered_ && shared_.promises_.Give(address, now);
+  const LeavingUpstreams::Entry* leaving = router_.FindLeavingUpstream(address);
+  report.leaving_instance_ = leaving == nullptr ? "" : leaving->holder_.instance_;
+  report.leaving_born_ms_ = leaving == nullptr ? 0 : leaving->holder_.born_ms_;
   report_sent_[address] = now;
   links_.Send(address, report);
 }
