--- a/Libraries/LibOwnership/fleet_records.cc
+++ b/Libraries/LibOwnership/fleet_records.cc
@@ -1,8 +1,34 @@
 #include "LibOwnership/fleet_records.h"
 
+#include <nlohmann/json.hpp>
+
 #include "LibOwnership/key_table_codec.h"
 
 namespace sassafrasbay {
+namespace {
+
+constexpr const char* kDataCentreField = "data_centre";
+constexpr const char* kIncarnationField = "life";
+
+}  // namespace
+
+std::string EncodeNodeRecord(const NodeRecord& record) {
+  return nlohmann::json{{kDataCentreField, record.data_centre_},
+                        {kIncarnationField, record.incarnation_id_}}
+      .dump();
+}
+
+Result<NodeRecord> DecodeNodeRecord(std::string_view text) {
+  const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+  for (const char* field : {kDataCentreField, kIncarnationField}) {
+    if (!value.is_object() || !value.contains(field) || !value[field].is_string()) {
+      return MakeError(Errc::kMalformed, "decode node record", {},
+                       std::string(field) + " must be a text");
+    }
+  }
+  return NodeRecord{value[kDataCentreField].get<std::string>(),
+                    value[kIncarnationField].get<std::string>()};
+}
 
 const KeyTable* FindTable(const FleetRecords& records, std::string_view service) {
   const auto found = records.tables_.find(service);
--- a/Libraries/LibOwnership/fleet_records.h
+++ b/Libraries/LibOwnership/fleet_records.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibCore/error.h"
 #include "LibOwnership/key_table.h"
 
 namespace sassafrasbay {
@@ -23,6 +24,17 @@
       std::make_shared<const std::map<std::string, std::string>>();
 };
 
+/// Registration of a node.
+struct NodeRecord {
+  std::string data_centre_;
+  std::string incarnation_id_;  ///< Random id of the process.
+};
+
+std::string EncodeNodeRecord(const NodeRecord& record);
+
+/// Errors: kMalformed for anything but an object with both fields as texts.
+Result<NodeRecord> DecodeNodeRecord(std::string_view text);
+
 /// Null when no table of the service is known.
 const KeyTable* FindTable(const FleetRecords& records, std::string_view service);
 
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "LibCore/logging.h"
@@ -64,9 +63,8 @@
     return;
   }
   registration_pending_ = true;
-  const nlohmann::json value = {{"data_centre", shared_.environment_.data_centre_},
-                                {"life", incarnation_id_}};
-  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_, value.dump()};
+  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
+                           EncodeNodeRecord({shared_.environment_.data_centre_, incarnation_id_})};
   store_.Append(
       kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
         if (offset) {
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -1,7 +1,6 @@
 #include "router/control_thread.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "LibCore/hash.h"
@@ -192,15 +191,18 @@
     ScheduleUpdate();
     return;
   }
-  const nlohmann::json value = nlohmann::json::parse(record.value_, nullptr, false);
-  if (!value.is_object() || !value.contains("data_centre") || !value.contains("life")) {
-    LogWarning(kPart, "node record without data_centre or life ignored key=" + record.key_ + ".");
+  const Result<NodeRecord> node = DecodeNodeRecord(record.value_);
+  if (!node) {
+    shared_.metrics_.Count("sassafrasbay_node_records_rejected_total");
+    LogWarning(kPart, "node record ignored key=" + record.key_ + " reason=\"" +
+                          ToString(node.error()) + "\".");
     return;
   }
-  if (address == shared_.self_ && value["life"] == incarnation_id_ && !registered_at_) {
+  if (address == shared_.self_ && node.value().incarnation_id_ == incarnation_id_ &&
+      !registered_at_) {
     registered_at_ = BootClock::now();
   }
-  members_[address] = {address, value["data_centre"].get<std::string>()};
+  members_[address] = {address, node.value().data_centre_};
   SetNodeRecord(records_, record.key_, record.value_);
   ScheduleUpdate();
 }
--- a/Tests/LibOwnership/test_fleet_records.cc
+++ b/Tests/LibOwnership/test_fleet_records.cc
@@ -50,6 +50,18 @@
   BOOST_TEST(FindTable(records, "other") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(OnlySoundNodeRecordsAreDecoded) {
+  const auto record = DecodeNodeRecord(EncodeNodeRecord({"dc-1", "a1"}));
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record.value().data_centre_ == "dc-1");
+  BOOST_TEST(record.value().incarnation_id_ == "a1");
+  for (const char* text :
+       {"", "[]", "{}", "{\"data_centre\":\"dc-1\"}", "{\"data_centre\":7,\"life\":\"a\"}",
+        "{\"data_centre\":\"dc-1\",\"life\":null}"}) {
+    BOOST_TEST(!DecodeNodeRecord(text).has_value(), text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/Tests/Soak/test_configuration_in_force.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -1,4 +1,4 @@
-#define BOOST_TEST_MODULE ConfigurationInForce
+#define BOOST_TEST_MODULE StoreRecords
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -6,9 +6,11 @@
 #include <random>
 #include <string>
 
+#include "LibOwnership/fleet_records.h"
 #include "LibTransport/http_client.h"
 #include "Soak/fleet.h"
 #include "platform/wire_names.h"
+#include "router/key_table_writer.h"
 
 namespace sassafrasbay::soak {
 namespace {
@@ -136,5 +138,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(OddRecords, FleetFixture)
+
+// Guards against one odd record that ends every process which reads it, again after each restart.
+BOOST_AUTO_TEST_CASE(RecordsOfAnotherWriterEndNoProcess) {
+  constexpr std::size_t kDepth = 100'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string node_key(kNodePrefix);
+  const std::string table_key = std::string(kTablePrefix) + "lookup";
+  for (const std::string& value : {nested, std::string("{\"data_centre\":7,\"life\":\"a\"}"),
+                                   std::string("{\"data_centre\":{},\"life\":[]}"),
+                                   std::string("[1e999]"), std::string("\xff\xfe")}) {
+    fleet_.Store().Append(kFleetTopic, node_key + "127.0.0.1:7620", value);
+    fleet_.Store().Append(kFleetTopic, table_key, value);
+    fleet_.Store().Append(platform::kOperatorTopic, platform::kConfigurationKey, value);
+  }
+  // A sound registration at an address that can't exist.
+  for (const char* address : {"127.0.0.1:99999", "nowhere", "", "127.0.0.1:-1"}) {
+    fleet_.Store().Append(kFleetTopic, node_key + address,
+                          "{\"data_centre\":\"dc-0\",\"life\":\"a\"}");
+  }
+  RunFor(kSettlingTime);
+  const std::uint64_t version = fleet_.WriteConfiguration();
+  for (std::size_t node = 0; node < fleet_.Vms().size(); ++node) {
+    BOOST_TEST(fleet_.Vms()[node].process_->IsRunning(), fleet_.Vms()[node].name_);
+    BOOST_TEST(AwaitConfiguration(node, version, kMaxConfigurationDelay));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace sassafrasbay::soak
--- a/Tests/platform/test_heartbeat_codec.cc
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -46,6 +46,27 @@
   }
 }
 
+// Guards against an entry of another writer that ends the process, or is taken for an upstream,
+// since it is nested very deeply or has a number that doesn't fit.
+BOOST_AUTO_TEST_CASE(OddNumbersAndNestingAreRejected) {
+  const auto with = [](std::string_view from, std::string_view to) {
+    std::string text(kHeartbeat);
+    text.replace(text.find(from), from.size(), to);
+    return text;
+  };
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const std::string& text :
+       {nested, std::string(kDepth, '['), with("13", nested), with("[[0,4095,7]]", nested),
+        with("13", "1e30"), with("13", "1e999"), with("13", "4294967309"), with("13", "-1"),
+        with("13", "13.5"), with("1700000000123", "18446744073709551615"),
+        with("\"sequence\":4", "\"sequence\":-4"), with("\"sequence\":4", "\"sequence\":1e30"),
+        with("[0,4095,7]", "[4294967296,4095,7]"), with("[0,4095,7]", "[0,4095,-7]"),
+        with("[4096,8191,", "[4096.5,8191,")}) {
+    BOOST_TEST(!DecodeHeartbeat("i-1", text).has_value(), text.substr(0, 200));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnswerWithoutGrantDurationHasNoHolds) {
   BOOST_TEST(EncodeHeartbeatAnswer({}) == "{}");
   HeartbeatAnswer answer;
