router: Drop clock values of another process of the VM

Reports name the process whose clock they return. A value of another process, or one in the future, is dropped, logged and counted, for confirmations of tables and of the configuration and for promises; ages can't wrap.

--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -82,8 +82,10 @@
   Cbor value = Start(Type::kNodeReport);
   value["a"] = message.address_;
   value["dc"] = message.data_centre_;
+  value["in"] = message.incarnation_;
   value["ck"] = message.clock_ms_;
   value["ec"] = message.echoed_clock_ms_;
+  value["ei"] = message.echoed_incarnation_;
   value["tk"] = message.tables_known_;
   value["ta"] = message.tables_age_ms_;
   value["te"] = message.tables_end_;
@@ -190,8 +192,10 @@
   NodeReport message;
   message.address_ = TakeText(reader, "a");
   message.data_centre_ = TakeText(reader, "dc");
+  message.incarnation_ = TakeText(reader, "in");
   Read(reader, "ck", message.clock_ms_);
   Read(reader, "ec", message.echoed_clock_ms_);
+  message.echoed_incarnation_ = TakeText(reader, "ei");
   message.tables_known_ = TakeFlag(reader, "tk");
   Read(reader, "ta", message.tables_age_ms_);
   Read(reader, "te", message.tables_end_);
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -96,9 +96,12 @@
 struct NodeReport {
   std::string address_;  ///< Peer address of the sender.
   std::string data_centre_;
+  std::string incarnation_;     ///< Random id of the sender's process.
   std::uint64_t clock_ms_ = 0;  ///< The sender's clock; the receiver echoes it in its own report.
-  /// Last clock value received from the receiver; 0 if there was none yet.
+  /// Last clock value received from the receiver, and the process that sent it; 0 and empty if
+  /// there was none yet. Clocks of different boots can't be compared.
   std::uint64_t echoed_clock_ms_ = 0;
+  std::string echoed_incarnation_;
   bool tables_known_ = false;  ///< Whether the next two fields are set.
   /// Time since the sender last verified that its tables were up to date.
   std::uint64_t tables_age_ms_ = 0;
--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -4,6 +4,7 @@
 #include "platform/configuration_decoder.h"
 #include "platform/wire_names.h"
 #include "router/control_thread.h"
+#include "router/echoed_clock.h"
 
 namespace sassafrasbay {
 namespace {
@@ -79,22 +80,14 @@
   return std::chrono::duration_cast<milliseconds>(BootClock::now() - since);
 }
 
-void ControlThread::ConfirmConfiguration(BootTime since) {
-  // A report can return a value that this VM's clock had before its last boot.
-  if (since > BootClock::now()) {
-    shared_.metrics_.Count("sassafrasbay_confirmations_ignored_total");
-    return;
-  }
-  shared_.configuration_confirmations_.Confirm(ConfigurationVersion(), since);
-}
-
 // As in OnReport, the echoed clock makes the sender's knowledge at least as old as it was.
-void ControlThread::OnReportedConfiguration(const NodeReport& report) {
+void ControlThread::OnReportedConfiguration(const NodeReport& report,
+                                            std::optional<BootTime> echoed) {
   const std::uint64_t version = report.configuration_version_;
-  if (version == ConfigurationVersion() && report.configuration_age_ms_ &&
-      report.echoed_clock_ms_ > 0) {
-    ConfirmConfiguration(BootTime(milliseconds(report.echoed_clock_ms_)) -
-                         milliseconds(*report.configuration_age_ms_));
+  if (echoed && version == ConfigurationVersion() && report.configuration_age_ms_) {
+    if (const auto since = TimeBefore(*echoed, *report.configuration_age_ms_)) {
+      shared_.configuration_confirmations_.Confirm(version, *since);
+    }
   }
   const auto is_in_force = [this, version] { return ConfigurationVersion() >= version; };
   if (!is_in_force()) {
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -63,8 +63,9 @@
     return;
   }
   registration_pending_ = true;
-  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
-                           EncodeNodeRecord({shared_.environment_.data_centre_, incarnation_id_})};
+  const KeyedRecord record{
+      0, std::string(kNodePrefix) + shared_.self_,
+      EncodeNodeRecord({shared_.environment_.data_centre_, shared_.incarnation_id_})};
   store_.Append(
       kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
         if (offset) {
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -7,6 +7,7 @@
 #include "LibCore/logging.h"
 #include "LibOwnership/key_table_codec.h"
 #include "platform/wire_names.h"
+#include "router/echoed_clock.h"
 
 namespace sassafrasbay {
 namespace {
@@ -49,18 +50,19 @@
     : shared_(shared),
       client_(loop_, kStoreConnections),
       store_(client_, shared.environment_.store_),
-      operator_topic_(
-          loop_, store_, std::string(platform::kOperatorTopic), kJoiningReadSchedule,
-          {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
-           [this](BootTime, BootTime answered_at) { ConfirmConfiguration(answered_at); },
-           [](bool) {}}),
+      operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kJoiningReadSchedule,
+                      {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
+                       [this](BootTime, BootTime answered_at) {
+                         shared_.configuration_confirmations_.Confirm(ConfigurationVersion(),
+                                                                      answered_at);
+                       },
+                       [](bool) {}}),
       fleet_topic_(loop_, store_, std::string(kFleetTopic), kJoiningReadSchedule,
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
                     [this](BootTime requested_at, BootTime) { OnTablesCurrent(requested_at); },
                     [this](bool reached) { shared_.reaches_store_ = reached; }}),
       key_table_writer_(store_, shared_.promises_,
-                        [this](const KeyedRecord& record) { OnWritten(record); }),
-      incarnation_id_(RandomId()) {
+                        [this](const KeyedRecord& record) { OnWritten(record); }) {
   registry_.self_ = shared_.self_;
 }
 
@@ -198,7 +200,7 @@
                           ToString(node.error()) + "\".");
     return;
   }
-  if (address == shared_.self_ && node.value().incarnation_id_ == incarnation_id_ &&
+  if (address == shared_.self_ && node.value().incarnation_id_ == shared_.incarnation_id_ &&
       !registered_at_) {
     registered_at_ = BootClock::now();
   }
@@ -225,24 +227,29 @@
 // The sender's tables were the newest at that time minus the age that the report states.
 void ControlThread::OnReport(ReceivedReport received_report) {
   const NodeReport& report = received_report.report_;
-  if (report.tables_known_ && report.echoed_clock_ms_ > 0 &&
-      report.tables_end_ == fleet_topic_.End()) {
-    const auto since = static_cast<std::int64_t>(report.echoed_clock_ms_) -
-                       static_cast<std::int64_t>(report.tables_age_ms_);
-    ConfirmTables(BootTime(milliseconds(since)));
+  const auto echoed = EchoedTime(report, shared_.incarnation_id_, BootClock::now());
+  if (!echoed && report.echoed_clock_ms_ > 0) {
+    shared_.metrics_.Count("sassafrasbay_echoed_clocks_ignored_total");
+    LogInfo(kPart, "peer=" + report.address_ +
+                       " echoed_clock_ms=" + std::to_string(report.echoed_clock_ms_) +
+                       " ignored; it isn't of this process.");
+  }
+  if (echoed && report.tables_known_ && report.tables_end_ == fleet_topic_.End()) {
+    if (const auto since = TimeBefore(*echoed, report.tables_age_ms_)) {
+      ConfirmTables(*since);
+    }
   }
   // A sender with newer tables may already have taken ranges over.
-  if (report.promises_ && report.echoed_clock_ms_ > 0 && report.tables_end_ <= fleet_topic_.End()) {
-    const BootTime since{milliseconds(static_cast<std::int64_t>(report.echoed_clock_ms_))};
+  if (echoed && report.promises_ && report.tables_end_ <= fleet_topic_.End()) {
     BootTime& received = received_promises_[report.address_];
-    received = std::max(received, since);
+    received = std::max(received, *echoed);
   }
   if (report.tables_end_ > fleet_topic_.End()) {
     fleet_topic_.ReadUnlessKnown(
         MaxReplicationLag(members_.size()),
         [this, end = report.tables_end_] { return fleet_topic_.End() >= end; });
   }
-  OnReportedConfiguration(report);
+  OnReportedConfiguration(report, echoed);
   // This process may have been restarted since its upstream announced that it leaves. When that
   // was isn't known, so no time is left.
   if (!report.leaving_instance_.empty()) {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -61,10 +61,8 @@
   std::uint64_t ConfigurationVersion() const;
   /// Time since it was last known that no newer configuration exists.
   milliseconds ConfigurationAge() const;
-  /// Records that the configuration in force was the newest one at the time `since`.
-  void ConfirmConfiguration(BootTime since);
   /// Takes over what a report says of the configuration, and reads a newer one.
-  void OnReportedConfiguration(const NodeReport& report);
+  void OnReportedConfiguration(const NodeReport& report, std::optional<BootTime> echoed);
   /// Reads the store when it is too long ago that the configuration was verified.
   void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
@@ -113,7 +111,6 @@
   std::unique_ptr<HttpServer> heartbeats_;
   TrafficThreadCallbacks traffic_;
 
-  std::string incarnation_id_;             ///< Random id in the registration.
   std::optional<BootTime> registered_at_;  ///< Registration read back.
   bool removal_pending_ = false;
   std::set<std::string> readers_;  ///< Peer addresses of the nodes that follow the store.
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibCore/clock.h"
+#include "LibCore/hash.h"
 #include "LibCore/metrics.h"
 #include "LibOwnership/fleet_records.h"
 #include "LibRouting/node_messages.h"
@@ -64,7 +65,8 @@
 /// State that the control and the traffic thread share.
 struct RouterShared {
   platform::NodeEnvironment environment_;
-  std::string self_;  ///< Peer address of this node.
+  std::string self_;                               ///< Peer address of this node.
+  const std::string incarnation_id_ = RandomId();  ///< Of this process.
   Metrics metrics_;
   SharedConfirmations confirmations_;
   SharedConfirmations configuration_confirmations_;
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -264,6 +264,7 @@
   NodeReport report;
   report.address_ = shared_.self_;
   report.data_centre_ = shared_.environment_.data_centre_;
+  report.incarnation_ = shared_.incarnation_id_;
   report.clock_ms_ = ClockMilliseconds();
   report.load_ = gate_.Load();
   report.service_times_ = gate_.ServiceTimes();
@@ -328,6 +329,8 @@
   const auto last_report = reports_.find(address);
   report.echoed_clock_ms_ =
       last_report == reports_.end() ? 0 : last_report->second.report_.clock_ms_;
+  report.echoed_incarnation_ =
+      last_report == reports_.end() ? "" : last_report->second.report_.incarnation_;
   // A connection can fail without an error; a new one shows whether the node is alive.
   if (last_report != reports_.end() &&
       now - last_report->second.received_at_ > SuspicionTimeout(NodeCount())) {
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -28,6 +28,9 @@
   answer.response_ = {200, {{"H", "v"}}, "body"};
   NodeReport report;
   report.address_ = "10.1.0.8:7620";
+  report.incarnation_ = "p1";
+  report.echoed_clock_ms_ = 77;
+  report.echoed_incarnation_ = "p2";
   report.tables_known_ = true;
   report.tables_age_ms_ = 12;
   report.configuration_age_ms_ = 340;
