router: Reject heartbeats of services that no configuration names

One heartbeat of another writer, with an unknown service, passed for a new incarnation of the upstream beside the node: the keys of the one that was up went to others at once while its grant ran on for up to 4 s (OWNER), and it got no further grants.

A heartbeat is taken only for a service that the settings or the configuration in force name; others are answered 400, logged and counted.

--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -72,6 +72,14 @@
     exchange->Respond({kBadRequest, {}, ToString(heartbeat.error()) + "\n"});
     return;
   }
+  if (!IsKnownService(heartbeat.value().service_)) {
+    shared_.metrics_.Count("sassafrasbay_heartbeats_rejected_total");
+    LogWarning(kPart, "heartbeat rejected instance=" + std::string(instance) +
+                          " service=" + heartbeat.value().service_ +
+                          " reason=\"no configuration in force names the service\".");
+    exchange->Respond({kBadRequest, {}, "unknown service\n"});
+    return;
+  }
   const BootTime now = BootClock::now();
   const UpstreamHeartbeat received_heartbeat = heartbeat.value();
   const HeartbeatEffect effect = RecordHeartbeat(registry_, std::move(heartbeat.value()), now);
@@ -117,6 +125,13 @@
   return table != nullptr && ExpectsRanges(*table, MakeView(table->service_));
 }
 
+// Another writer's heartbeat would pass for a new incarnation, and the keys of the upstream that is
+// up would go to others.
+bool ControlThread::IsKnownService(const std::string& service) const {
+  return service == shared_.environment_.service_ ||
+         (routes_ != nullptr && routes_->services_.contains(service));
+}
+
 bool ControlThread::IsSharded(const std::string& service) const {
   const auto found = routes_->services_.find(service);
   return found != routes_->services_.end() && found->second.sharded_;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -83,6 +83,8 @@
   void AnswerPendingHeartbeats();
   HeartbeatAnswer MakeHeartbeatAnswer() const;
   bool ShouldDelayAnswer() const;
+  /// Whether the settings or the configuration in force name the service.
+  bool IsKnownService(const std::string& service) const;
   bool IsSharded(const std::string& service) const;
   const KeyTable* LocalTable() const;
   OwnershipView MakeView(const std::string& service) const;
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE StoreRecords
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -67,6 +68,16 @@
     BOOST_REQUIRE(ready);
   }
 
+  /// A key that the target beside the node holds.
+  static std::optional<int> HeldKey(const Vm& vm) {
+    for (int key = 0; key <= static_cast<int>(kLastShardKey); ++key) {
+      if (vm.target_->Holds(key)) {
+        return key;
+      }
+    }
+    return std::nullopt;
+  }
+
   void RunFor(milliseconds time) {
     loop_.StartTimer(time, [this] { loop_.Stop(); });
     loop_.Run();
@@ -140,6 +151,37 @@
 
 BOOST_FIXTURE_TEST_SUITE(OddRecords, FleetFixture)
 
+// Guards against two owners of a key (OWNER): a heartbeat of another writer, with a service that no
+// configuration names, passed for a new incarnation, and the keys of the upstream that was up went
+// to others while its grant ran on.
+BOOST_AUTO_TEST_CASE(ForeignHeartbeatMovesNoKeys) {
+  const auto holders = [this](int key) {
+    return std::count_if(fleet_.Vms().begin(), fleet_.Vms().end(),
+                         [key](const Vm& vm) { return vm.target_->Holds(key); });
+  };
+  const Vm& vm = fleet_.Vms()[0];
+  const BootTime end = BootClock::now() + kStartTimeout;
+  while (BootClock::now() < end && (!HeldKey(vm) || holders(*HeldKey(vm)) != 1)) {
+    RunFor(kProbeInterval);
+  }
+  BOOST_REQUIRE(HeldKey(vm).has_value());
+  const int key = *HeldKey(vm);
+  HttpCall call;
+  call.base_url_ = "http://" + vm.host_ + ":7003";
+  call.request_ = {"POST",
+                   "/-/instances/i-foreign/heartbeat",
+                   {{"Content-Type", "application/json"}},
+                   R"({"addr":"127.0.0.1:1","born":4102444800000,"info":{"service":"unknown",)"
+                   R"("capacity":8},"status":{"state":"ready","sequence":1}})"};
+  BOOST_TEST(Get(call).response_.value().status_ == 400);
+  // As long as a grant lasts.
+  for (int i = 0; i < 40; ++i) {
+    RunFor(milliseconds(100));
+    BOOST_TEST(vm.target_->Holds(key));
+    BOOST_TEST(holders(key) == 1);
+  }
+}
+
 // Guards against one odd record that ends every process which reads it, again after each restart.
 BOOST_AUTO_TEST_CASE(RecordsOfAnotherWriterEndNoProcess) {
   constexpr std::size_t kDepth = 100'000;
