--- a/Libraries/LibRouting/slot_queue.cc
+++ b/Libraries/LibRouting/slot_queue.cc
@@ -109,8 +109,8 @@
     return queue.slots_;
   }
   const double in_use = std::ceil(*queue.rate_limit_.per_second_ * queue.mean_service_ms_ / 1000);
-  return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(in_use), 1,
-                                   std::max<std::uint32_t>(queue.slots_, 1));
+  return static_cast<std::uint32_t>(
+      std::clamp(in_use, 1.0, std::max(1.0, static_cast<double>(queue.slots_))));
 }
 
 SlotVerdict OfferRequest(SlotQueue& queue, const SlotRequest& request, BootTime now) {
--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -102,7 +102,7 @@
   shared_.metrics_.SetGauge("sassafrasbay_configuration_age_ms", {},
                             static_cast<double>(age.count()));
   if (age > kMaxAgeFraction * shared_.environment_.configuration_limit_ &&
-      operator_topic_.ReadUnlessReading()) {
+      operator_topic_.ReadUnlessPending()) {
     shared_.metrics_.Count("sassafrasbay_configuration_verifications_total");
   }
 }
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -77,7 +77,7 @@
   }
 }
 
-bool TopicFollower::ReadUnlessReading() {
+bool TopicFollower::ReadUnlessPending() {
   if (immediate_read_pending_ || consecutive_failures_ > 0) {
     return false;
   }
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -71,7 +71,7 @@
 
   /// Reads now, unless a read without a long poll is in progress or a failed one is about to be
   /// repeated. Returns whether it reads.
-  bool ReadUnlessReading();
+  bool ReadUnlessPending();
 
   /// Reads after `delay`, unless `is_known` then returns true because another node has passed on
   /// the missing records. Calls before that are ignored, so that many reports of one record cause
--- a/Tests/LibRouting/test_slot_queue.cc
+++ b/Tests/LibRouting/test_slot_queue.cc
@@ -95,6 +95,8 @@
   BOOST_TEST(UsableSlots(queue) == 20U);
   SetRate(queue.rate_limit_, 50, 0, At(0));
   BOOST_TEST(UsableSlots(queue) == 5U);
+  SetRate(queue.rate_limit_, 1e300, 0, At(0));
+  BOOST_TEST(UsableSlots(queue) == 20U);
   SetRate(queue.rate_limit_, 0, 0, At(0));
   BOOST_TEST(UsableSlots(queue) == 1U);
 }
