router: Record in the store that an upstream leaves

What callers saw: 0.2 s after a leave was acknowledged, all processes were killed at once; a heartbeat from before the leave arrived late at the restarted process, and requests went to the upstream that had left (DRAIN).

Besides, a process announced its upstream before it knew anything of the time before its start, and a leave was matched by instance id alone, so that a late one of an earlier incarnation with the same id took the next one out of use.

Change: the node's registration names the upstream that drains or leaves. It is written before the drain or leave is acknowledged, and carried over by later processes, which announce no upstream before they have read it. Leaves are matched by the start time too, if they state it.

Evidence: TestStoreRecords, LeavingTargets, with seven real processes.

--- a/Libraries/LibOwnership/fleet_records.cc
+++ b/Libraries/LibOwnership/fleet_records.cc
@@ -9,13 +9,23 @@
 
 constexpr const char* kDataCentreField = "data_centre";
 constexpr const char* kIncarnationField = "life";
+constexpr const char* kLeavingField = "leaving";
+constexpr const char* kLastBornField = "leaving_born";
 
 }  // namespace
 
+bool Covers(const LeavingUpstream& leaving, std::string_view instance, std::int64_t born_ms) {
+  return leaving.instance_ == instance && born_ms <= leaving.last_born_ms_;
+}
+
 std::string EncodeNodeRecord(const NodeRecord& record) {
-  return nlohmann::json{{kDataCentreField, record.data_centre_},
-                        {kIncarnationField, record.incarnation_id_}}
-      .dump();
+  nlohmann::json value{{kDataCentreField, record.data_centre_},
+                       {kIncarnationField, record.incarnation_id_}};
+  if (record.leaving_) {
+    value[kLeavingField] = record.leaving_->instance_;
+    value[kLastBornField] = record.leaving_->last_born_ms_;
+  }
+  return value.dump();
 }
 
 Result<NodeRecord> DecodeNodeRecord(std::string_view text) {
@@ -26,8 +36,18 @@
                        std::string(field) + " must be a text");
     }
   }
-  return NodeRecord{value[kDataCentreField].get<std::string>(),
-                    value[kIncarnationField].get<std::string>()};
+  NodeRecord record{
+      value[kDataCentreField].get<std::string>(), value[kIncarnationField].get<std::string>(), {}};
+  if (value.contains(kLeavingField)) {
+    if (!value[kLeavingField].is_string() || !value.contains(kLastBornField) ||
+        !value[kLastBornField].is_number_integer()) {
+      return MakeError(Errc::kMalformed, "decode node record", {},
+                       "leaving must be a text, and leaving_born a whole number");
+    }
+    record.leaving_ = LeavingUpstream{value[kLeavingField].get<std::string>(),
+                                      value[kLastBornField].get<std::int64_t>()};
+  }
+  return record;
 }
 
 const KeyTable* FindTable(const FleetRecords& records, std::string_view service) {
--- a/Libraries/LibOwnership/fleet_records.h
+++ b/Libraries/LibOwnership/fleet_records.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,15 +26,30 @@
       std::make_shared<const std::map<std::string, std::string>>();
 };
 
+/// An upstream that drains or leaves: all incarnations with this instance id that started at or
+/// before a time. The same id may be used again by a later incarnation.
+struct LeavingUpstream {
+  std::string instance_;
+  std::int64_t last_born_ms_ = 0;  ///< Unix time in milliseconds.
+
+  friend bool operator==(const LeavingUpstream&, const LeavingUpstream&) = default;
+};
+
+/// Whether the incarnation is one of those that leave.
+bool Covers(const LeavingUpstream& leaving, std::string_view instance, std::int64_t born_ms);
+
 /// Registration of a node.
 struct NodeRecord {
   std::string data_centre_;
   std::string incarnation_id_;  ///< Random id of the process.
+  /// The upstream beside the node, if it drains or leaves.
+  std::optional<LeavingUpstream> leaving_;
 };
 
 std::string EncodeNodeRecord(const NodeRecord& record);
 
-/// Errors: kMalformed for anything but an object with both fields as texts.
+/// Errors: kMalformed for anything but an object with the data centre and the id as texts, or with
+/// a leaving upstream that can't be read.
 Result<NodeRecord> DecodeNodeRecord(std::string_view text);
 
 /// Null when no table of the service is known.
--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -25,6 +25,11 @@
   return heartbeat.instance_ == latest.instance_ && heartbeat.sequence_ <= latest.sequence_;
 }
 
+bool IsNewest(const UpstreamRegistry& registry, const LeavingUpstream& leaving) {
+  return registry.newest_ &&
+         Covers(leaving, registry.newest_->instance_, registry.newest_->born_ms_);
+}
+
 }  // namespace
 
 HeartbeatEffect RecordHeartbeat(UpstreamRegistry& registry, UpstreamHeartbeat heartbeat,
@@ -45,12 +50,14 @@
     registry.draining_since_.reset();
     effect = HeartbeatEffect::kNewIncarnation;
   }
-  const bool drains_early = registry.early_drain_ && registry.early_drain_->first == holder;
-  if (drains_early && !registry.draining_since_) {
-    registry.draining_since_ = registry.early_drain_->second;
+  const bool leaves_early =
+      registry.early_leave_ &&
+      Covers(registry.early_leave_->leaving_, heartbeat.instance_, heartbeat.born_ms_);
+  if (leaves_early && !registry.draining_since_) {
+    registry.draining_since_ = registry.early_leave_->since_;
   }
-  const bool draining = upstream.draining_ || heartbeat.draining_ || drains_early;
-  const bool left = upstream.has_left_ || registry.early_leaves_.erase(heartbeat.instance_) > 0;
+  const bool draining = upstream.draining_ || heartbeat.draining_ || leaves_early;
+  const bool left = upstream.has_left_ || (leaves_early && registry.early_leave_->has_left_);
   if (effect == HeartbeatEffect::kUnchanged &&
       (draining != upstream.draining_ || left != upstream.has_left_ || upstream.has_exited_ ||
        heartbeat.slots_ != upstream.slots_ || heartbeat.held_ != registry.newest_->held_ ||
@@ -82,9 +89,13 @@
   return effect;
 }
 
-bool RecordLeave(UpstreamRegistry& registry, std::string_view instance, BootTime now) {
-  if (!registry.newest_ || registry.newest_->instance_ != instance) {
-    registry.early_leaves_.emplace(instance);
+bool RecordLeave(UpstreamRegistry& registry, const LeavingUpstream& leaving, BootTime now) {
+  if (!IsNewest(registry, leaving)) {
+    // A late leave of an earlier incarnation doesn't replace what is known of a later one.
+    if (!registry.early_leave_ ||
+        registry.early_leave_->leaving_.last_born_ms_ <= leaving.last_born_ms_) {
+      registry.early_leave_ = EarlyLeave{leaving, now, true};
+    }
     return false;
   }
   registry.local_upstream_.has_left_ = true;
@@ -94,9 +105,12 @@
   return true;
 }
 
-bool RecordDraining(UpstreamRegistry& registry, const Holder& holder, BootTime since) {
-  if (registry.local_upstream_.holder_ != holder) {
-    registry.early_drain_ = {holder, since};
+bool RecordDraining(UpstreamRegistry& registry, const LeavingUpstream& leaving, BootTime since) {
+  if (!IsNewest(registry, leaving)) {
+    if (!registry.early_leave_ ||
+        registry.early_leave_->leaving_.last_born_ms_ < leaving.last_born_ms_) {
+      registry.early_leave_ = EarlyLeave{leaving, since, false};
+    }
     return false;
   }
   if (registry.draining_since_) {
@@ -107,6 +121,17 @@
   return true;
 }
 
+std::optional<LeavingUpstream> FindLeaving(const UpstreamRegistry& registry) {
+  if (registry.draining_since_) {
+    return LeavingUpstream{registry.newest_->instance_, registry.newest_->born_ms_};
+  }
+  // Of an upstream that hasn't sent a heartbeat to this process.
+  const bool is_later =
+      registry.early_leave_ && (!registry.newest_ || registry.early_leave_->leaving_.last_born_ms_ >
+                                                         registry.newest_->born_ms_);
+  return is_later ? std::optional(registry.early_leave_->leaving_) : std::nullopt;
+}
+
 bool RecordConnectionRefusal(UpstreamRegistry& registry, BootTime now,
                              milliseconds heartbeat_interval) {
   if (registry.local_upstream_.has_exited_ || !registry.local_upstream_.holder_ ||
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -10,10 +10,6 @@
 
 constexpr std::string_view kPart = "control";
 
-/// Maximum delay of the answer to a heartbeat while a range is about to arrive. An upstream accepts
-/// an answer up to one second late, and gets the range sooner than with its next heartbeat.
-constexpr milliseconds kMaxAnswerDelay{700};
-
 /// Period after the start of the process in which the answer to a heartbeat waits for the
 /// registration and the configuration.
 constexpr milliseconds kStartupPeriod{3000};
@@ -21,6 +17,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 HttpResponse JsonResponse(std::string body) {
   return {kOk, {{"Content-Type", "application/json"}}, std::move(body)};
@@ -35,34 +32,12 @@
     return;
   }
   if (instance_call->is_leave_) {
-    OnLeave(instance_call->instance_);
-    exchange->Respond(JsonResponse("{}"));
+    OnLeave(exchange, instance_call->instance_);
     return;
   }
   OnHeartbeat(exchange, instance_call->instance_);
 }
 
-void ControlThread::OnLeave(std::string_view instance) {
-  const bool current = RecordLeave(registry_, instance, BootClock::now());
-  LogInfo(kPart, "upstream=" + std::string(instance) +
-                     " leaves current=" + (current ? "true." : "false."));
-  // Published before the acknowledgement is sent, so that no request is sent to the upstream after
-  // it.
-  Publish();
-  ScheduleUpdate();
-}
-
-void ControlThread::OnLeavingUpstream(const Holder& holder, BootTime since,
-                                      std::string_view source) {
-  if (!RecordDraining(registry_, holder, since)) {
-    return;
-  }
-  LogInfo(kPart,
-          "upstream=" + holder.instance_ + " state=draining source=" + std::string(source) + ".");
-  Publish();
-  ScheduleUpdate();
-}
-
 void ControlThread::OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange,
                                 std::string_view instance) {
   auto heartbeat = platform::DecodeHeartbeat(instance, exchange->Request().body_);
@@ -102,7 +77,8 @@
     Publish();
     Decide();
   }
-  pending_heartbeats_.push_back({exchange, now});
+  pending_heartbeats_.push_back({exchange, now, received_heartbeat.draining_});
+  WriteLeaving();
   AnswerPendingHeartbeats();
 }
 
@@ -155,7 +131,20 @@
   }
   const BootTime now = BootClock::now();
   const bool overdue = now - pending_heartbeats_.front().received_at_ > kMaxAnswerDelay;
-  if (ShouldDelayAnswer() && !overdue) {
+  const bool awaits_record =
+      !IsLeavingRecorded() &&
+      std::any_of(pending_heartbeats_.begin(), pending_heartbeats_.end(),
+                  [](const PendingHeartbeat& pending) { return pending.draining_; });
+  if ((awaits_record || ShouldDelayAnswer()) && !overdue) {
+    return;
+  }
+  if (awaits_record) {
+    LogWarning(kPart,
+               "heartbeat not acknowledged reason=\"the store doesn't have the draining "
+               "yet\".");
+    for (const PendingHeartbeat& pending : std::exchange(pending_heartbeats_, {})) {
+      pending.exchange_->Respond({kUnavailable, {}, "the draining could not be recorded yet\n"});
+    }
     return;
   }
   // Only the newest heartbeat gets a grant; the upstream has given up waiting for the older ones.
--- /dev/null
+++ b/Services/sassafrasbay/router/control_leaving.cc
@@ -0,0 +1,111 @@
+#include <chrono>
+#include <utility>
+
+#include "LibCore/logging.h"
+#include "platform/heartbeat_codec.h"
+#include "router/control_thread.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "control";
+
+/// Backoff after a registration couldn't be written.
+constexpr milliseconds kWriteBackoff{300};
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+// Requests stop at once, but the leave is acknowledged only when the store has it: the upstream
+// sends nothing further, so after a restart of this process nobody else could tell.
+void ControlThread::OnLeave(const std::shared_ptr<HttpExchange>& exchange,
+                            std::string_view instance) {
+  // Without a start time, the leave is that of the incarnation that runs now.
+  const std::int64_t born_ms =
+      platform::DecodeLeaveBorn(exchange->Request().body_).value_or(UnixMilliseconds());
+  const BootTime now = BootClock::now();
+  const bool current = RecordLeave(registry_, {std::string(instance), born_ms}, now);
+  LogInfo(kPart, "upstream=" + std::string(instance) +
+                     " leaves current=" + (current ? "true." : "false."));
+  Publish();
+  ScheduleUpdate();
+  const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
+  if (!leaving || leaving->instance_ != instance) {
+    // A later incarnation is known, which nothing is sent to in place of this one.
+    exchange->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
+    return;
+  }
+  pending_leaves_.push_back({exchange, now});
+  WriteLeaving();
+  AnswerPendingLeaves();
+}
+
+void ControlThread::OnLeavingUpstream(const LeavingUpstream& leaving, BootTime since,
+                                      std::string_view source) {
+  if (!RecordDraining(registry_, leaving, since)) {
+    return;
+  }
+  LogInfo(kPart,
+          "upstream=" + leaving.instance_ + " state=draining source=" + std::string(source) + ".");
+  Publish();
+  ScheduleUpdate();
+}
+
+bool ControlThread::IsLeavingRecorded() const {
+  const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
+  return !leaving || leaving == recorded_leaving_;
+}
+
+// A process that hasn't registered yet writes the leaving with its registration.
+void ControlThread::WriteLeaving() {
+  if (!registered_at_ || leaving_write_pending_ || IsLeavingRecorded() ||
+      BootClock::now() < leaving_backoff_until_) {
+    return;
+  }
+  leaving_write_pending_ = true;
+  const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
+  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
+                           EncodeNodeRecord(OwnRecord())};
+  store_.Append(kFleetTopic, record, std::nullopt,
+                [this, record, leaving](const Result<std::uint64_t>& offset) {
+                  leaving_write_pending_ = false;
+                  if (!offset) {
+                    leaving_backoff_until_ = BootClock::now() + kWriteBackoff;
+                    LogWarning(kPart, "upstream=" + leaving->instance_ +
+                                          " leaving not recorded reason=\"" +
+                                          ToString(offset.error()) + "\".");
+                    return;
+                  }
+                  recorded_leaving_ = leaving;
+                  OnWritten({offset.value(), record.key_, record.value_});
+                  AnswerPendingLeaves();
+                  AnswerPendingHeartbeats();
+                });
+}
+
+void ControlThread::AnswerPendingLeaves() {
+  const BootTime now = BootClock::now();
+  const bool recorded = IsLeavingRecorded();
+  std::erase_if(pending_leaves_, [&](const PendingLeave& pending) {
+    if (recorded) {
+      pending.exchange_->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
+      return true;
+    }
+    if (now - pending.received_at_ <= kMaxAnswerDelay) {
+      return false;
+    }
+    LogWarning(kPart, "leave not acknowledged reason=\"the store doesn't have it yet\".");
+    pending.exchange_->Respond({kUnavailable, {}, "the leave could not be recorded yet\n"});
+    return true;
+  });
+}
+
+}  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -63,9 +63,8 @@
     return;
   }
   registration_pending_ = true;
-  const KeyedRecord record{
-      0, std::string(kNodePrefix) + shared_.self_,
-      EncodeNodeRecord({shared_.environment_.data_centre_, shared_.incarnation_id_})};
+  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
+                           EncodeNodeRecord(OwnRecord())};
   store_.Append(
       kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
         if (offset) {
@@ -79,6 +78,14 @@
       });
 }
 
+// What an earlier process has recorded of a leaving upstream is kept, as a heartbeat from before
+// the leave may still arrive.
+NodeRecord ControlThread::OwnRecord() const {
+  const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
+  return {shared_.environment_.data_centre_, shared_.incarnation_id_,
+          leaving ? leaving : recorded_leaving_};
+}
+
 std::vector<std::string> ControlThread::OtherNodes() const {
   std::vector<std::string> others;
   for (const auto& [address, member] : members_) {
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -87,6 +87,8 @@
     VerifyConfiguration();
     RemoveLostNode();
     Decide();
+    WriteLeaving();
+    AnswerPendingLeaves();
     AnswerPendingHeartbeats();
   });
   return boost::outcome_v2::success();
@@ -119,7 +121,9 @@
     });
   };
   callbacks.upstream_leaving_ = [this](const Holder& holder) {
-    loop_.Post([this, holder] { OnLeavingUpstream(holder, BootClock::now(), "response"); });
+    loop_.Post([this, holder] {
+      OnLeavingUpstream({holder.instance_, holder.born_ms_}, BootClock::now(), "response");
+    });
   };
   return callbacks;
 }
@@ -200,15 +204,27 @@
                           ToString(node.error()) + "\".");
     return;
   }
-  if (address == shared_.self_ && node.value().incarnation_id_ == shared_.incarnation_id_ &&
-      !registered_at_) {
-    registered_at_ = BootClock::now();
+  if (address == shared_.self_) {
+    OnOwnRecord(node.value());
   }
   members_[address] = {address, node.value().data_centre_};
   SetNodeRecord(records_, record.key_, record.value_);
   ScheduleUpdate();
 }
 
+// An earlier process may have recorded that the upstream leaves, at an unknown time, so no time is
+// left for further requests.
+void ControlThread::OnOwnRecord(const NodeRecord& record) {
+  recorded_leaving_ = record.leaving_;
+  if (record.leaving_) {
+    OnLeavingUpstream(*record.leaving_, BootClock::now() - shared_.environment_.drain_limit_,
+                      "store");
+  }
+  if (record.incarnation_id_ == shared_.incarnation_id_ && !registered_at_) {
+    registered_at_ = BootClock::now();
+  }
+}
+
 void ControlThread::OnTablesCurrent(BootTime requested_at) {
   ConfirmTables(requested_at);
   Register();
@@ -253,7 +269,7 @@
   // This process may have been restarted since its upstream announced that it leaves. When that
   // was isn't known, so no time is left.
   if (!report.leaving_instance_.empty()) {
-    OnLeavingUpstream({shared_.self_, report.leaving_instance_, report.leaving_born_ms_},
+    OnLeavingUpstream({report.leaving_instance_, report.leaving_born_ms_},
                       BootClock::now() - shared_.environment_.drain_limit_, "peer");
   }
   const std::string address = report.address_;
@@ -358,6 +374,7 @@
 }
 
 void ControlThread::Publish() {
+  knows_own_record_ = knows_own_record_ || fleet_topic_.IsCurrent();
   auto snapshot = std::make_shared<RouterSnapshot>();
   snapshot->routes_ = routes_;
   snapshot->configuration_text_ = configuration_text_;
@@ -370,7 +387,8 @@
       snapshot->members_.push_back(member);
     }
   }
-  if (registry_.newest_) {
+  // Until its records are known, an earlier process may have acknowledged that the upstream leaves.
+  if (registry_.newest_ && knows_own_record_) {
     const LocalUpstream& own = registry_.local_upstream_;
     auto upstream = std::make_shared<UpstreamState>();
     upstream->holder_ = *own.holder_;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -27,6 +27,11 @@
 /// test day with 66 nodes.
 inline constexpr ReadSchedule kJoiningReadSchedule{milliseconds(0), milliseconds(400)};
 
+/// Maximum delay of the answer to an upstream, which accepts it up to one second late. A heartbeat
+/// waits for a range that is about to arrive, as the upstream gets it sooner than with its next
+/// heartbeat; a drain or leave waits until it has been recorded.
+inline constexpr milliseconds kMaxAnswerDelay{700};
+
 /// Where a node got a configuration from.
 enum class ConfigurationSource : std::uint8_t { kStore, kPeer };
 
@@ -49,10 +54,18 @@
   void Stop() { loop_.Stop(); }
 
  private:
-  /// A heartbeat whose answer is delayed because the ranges of its upstream are about to change.
+  /// A heartbeat whose answer is delayed because the ranges of its upstream are about to change, or
+  /// until its draining has been recorded.
   struct PendingHeartbeat {
     std::shared_ptr<HttpExchange> exchange_;
     BootTime received_at_{};
+    bool draining_ = false;
+  };
+
+  /// A leave that is acknowledged once it has been recorded.
+  struct PendingLeave {
+    std::shared_ptr<HttpExchange> exchange_;
+    BootTime received_at_{};
   };
 
   void OnOperatorRecord(const KeyedRecord& record);
@@ -67,6 +80,7 @@
   void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
   void OnNodeRecord(const KeyedRecord& record);
+  void OnOwnRecord(const NodeRecord& record);
   /// Replaces the known table of the service by a newer one.
   void ApplyTable(KeyTable table);
   void OnTablesCurrent(BootTime requested_at);
@@ -77,9 +91,14 @@
   void OnState(const StateTransfer& state);
   void OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange);
   void OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange, std::string_view instance);
-  void OnLeave(std::string_view instance);
-  /// Takes over from a response or a peer that the local upstream leaves.
-  void OnLeavingUpstream(const Holder& holder, BootTime since, std::string_view source);
+  void OnLeave(const std::shared_ptr<HttpExchange>& exchange, std::string_view instance);
+  /// Takes over from the store, a response or a peer that the local upstream leaves.
+  void OnLeavingUpstream(const LeavingUpstream& leaving, BootTime since, std::string_view source);
+  /// Whether the store is known to hold what this process knows of the leaving of its upstream.
+  bool IsLeavingRecorded() const;
+  /// Writes this node's registration with the upstream that leaves, unless it is recorded.
+  void WriteLeaving();
+  void AnswerPendingLeaves();
   void AnswerPendingHeartbeats();
   HeartbeatAnswer MakeHeartbeatAnswer() const;
   bool ShouldDelayAnswer() const;
@@ -100,6 +119,7 @@
   void OnWritten(const KeyedRecord& record);
   void OnPeerRecord(const TableRecord& message);
   void Register();
+  NodeRecord OwnRecord() const;
   void Publish();
   void ScheduleUpdate();
 
@@ -128,6 +148,12 @@
   std::map<std::string, std::pair<DemandReport, BootTime>> demand_;
   UpstreamRegistry registry_;
   std::vector<PendingHeartbeat> pending_heartbeats_;
+  std::vector<PendingLeave> pending_leaves_;
+  /// Upstream that leaves by the newest registration of this node, whichever process wrote it.
+  std::optional<LeavingUpstream> recorded_leaving_;
+  bool knows_own_record_ = false;  ///< The records have been read, from the store or a peer.
+  bool leaving_write_pending_ = false;
+  BootTime leaving_backoff_until_{};
   bool update_posted_ = false;
 };
 
--- a/Tests/LibOwnership/test_fleet_records.cc
+++ b/Tests/LibOwnership/test_fleet_records.cc
@@ -51,17 +51,32 @@
 }
 
 BOOST_AUTO_TEST_CASE(OnlySoundNodeRecordsAreDecoded) {
-  const auto record = DecodeNodeRecord(EncodeNodeRecord({"dc-1", "a1"}));
+  const auto record = DecodeNodeRecord(EncodeNodeRecord({"dc-1", "a1", {}}));
   BOOST_REQUIRE(record.has_value());
   BOOST_TEST(record.value().data_centre_ == "dc-1");
   BOOST_TEST(record.value().incarnation_id_ == "a1");
+  BOOST_TEST(!record.value().leaving_.has_value());
   for (const char* text :
        {"", "[]", "{}", "{\"data_centre\":\"dc-1\"}", "{\"data_centre\":7,\"life\":\"a\"}",
-        "{\"data_centre\":\"dc-1\",\"life\":null}"}) {
+        "{\"data_centre\":\"dc-1\",\"life\":null}",
+        "{\"data_centre\":\"dc-1\",\"life\":\"a\",\"leaving\":\"i-1\"}",
+        "{\"data_centre\":\"dc-1\",\"life\":\"a\",\"leaving\":7,\"leaving_born\":7}",
+        "{\"data_centre\":\"dc-1\",\"life\":\"a\",\"leaving\":\"i\",\"leaving_born\":\"7\"}"}) {
     BOOST_TEST(!DecodeNodeRecord(text).has_value(), text);
   }
 }
 
+BOOST_AUTO_TEST_CASE(RegistrationsKeepTheUpstreamThatLeaves) {
+  const LeavingUpstream leaving{"i-1", 100};
+  const auto record = DecodeNodeRecord(EncodeNodeRecord({"dc-1", "a1", leaving}));
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST((record.value().leaving_ == leaving));
+  BOOST_TEST(Covers(leaving, "i-1", 99));
+  BOOST_TEST(Covers(leaving, "i-1", 100));
+  BOOST_TEST(!Covers(leaving, "i-1", 101));
+  BOOST_TEST(!Covers(leaving, "i-2", 100));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/Tests/LibOwnership/test_leaving_upstreams.cc
+++ b/Tests/LibOwnership/test_leaving_upstreams.cc
@@ -55,14 +55,14 @@
     if (heartbeat_first) {
       RecordHeartbeat(registry, Heartbeat("i-1", 100), At(0));
     }
-    BOOST_TEST(RecordDraining(registry, {"a", "i-1", 100}, At(-2000)) == heartbeat_first);
+    BOOST_TEST(RecordDraining(registry, {"i-1", 100}, At(-2000)) == heartbeat_first);
     if (!heartbeat_first) {
       RecordHeartbeat(registry, Heartbeat("i-1", 100), At(10));
     }
     BOOST_TEST(registry.local_upstream_.draining_);
     BOOST_TEST((registry.draining_since_ == At(-2000)));
     // Known already, so the later time doesn't extend the limit.
-    BOOST_TEST(!RecordDraining(registry, {"a", "i-1", 100}, At(20)));
+    BOOST_TEST(!RecordDraining(registry, {"i-1", 100}, At(20)));
     BOOST_TEST((registry.draining_since_ == At(-2000)));
   }
 }
@@ -71,10 +71,39 @@
   UpstreamRegistry registry;
   registry.self_ = "a";
   RecordHeartbeat(registry, Heartbeat("i-1", 200), At(0));
-  BOOST_TEST(!RecordDraining(registry, {"a", "i-1", 100}, At(0)));
+  BOOST_TEST(!RecordDraining(registry, {"i-1", 100}, At(0)));
   BOOST_TEST(!registry.local_upstream_.draining_);
 }
 
+// Guards against an upstream out of use until its next start: a late leave of an earlier
+// incarnation with the same instance id passed for its own.
+BOOST_AUTO_TEST_CASE(ALateLeaveOfAnEarlierIncarnationChangesNothing) {
+  UpstreamRegistry registry;
+  registry.self_ = "a";
+  RecordHeartbeat(registry, Heartbeat("i-1", 200), At(0));
+  BOOST_TEST(!RecordLeave(registry, {"i-1", 100}, At(10)));
+  BOOST_TEST(!registry.local_upstream_.has_left_);
+  BOOST_TEST(!FindLeaving(registry).has_value());
+  BOOST_TEST(RecordLeave(registry, {"i-1", 200}, At(20)));
+  BOOST_TEST(registry.local_upstream_.has_left_);
+  BOOST_TEST((FindLeaving(registry) == LeavingUpstream{"i-1", 200}));
+}
+
+BOOST_AUTO_TEST_CASE(ALeaveBeforeTheFirstHeartbeatIsKept) {
+  UpstreamRegistry registry;
+  registry.self_ = "a";
+  BOOST_TEST(!RecordLeave(registry, {"i-1", 100}, At(0)));
+  // A late leave of an earlier incarnation doesn't replace it.
+  BOOST_TEST(!RecordLeave(registry, {"i-0", 50}, At(5)));
+  BOOST_TEST((FindLeaving(registry) == LeavingUpstream{"i-1", 100}));
+  RecordHeartbeat(registry, Heartbeat("i-1", 100), At(10));
+  BOOST_TEST(registry.local_upstream_.has_left_);
+  BOOST_TEST((registry.draining_since_ == At(0)));
+  RecordHeartbeat(registry, Heartbeat("i-1", 300), At(20));
+  BOOST_TEST(!registry.local_upstream_.has_left_);
+  BOOST_TEST(!FindLeaving(registry).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kLateArrivalThreshold = kDrainTimeout + milliseconds(300);
 constexpr double kSlowClockFactor = 1.02;
 
+constexpr int kOk = 200;
+
 constexpr int kMinWorkMs = 5;
 constexpr int kMaxWorkMs = 80;
 
@@ -91,7 +93,9 @@
   born_ms_ = std::max(UnixMilliseconds(), born_ms_ + 1);
   sequence_ = 0;
   running_count_ = 0;
+  runs_ = 0;
   draining_ = false;
+  has_left_ = false;
   drain_acknowledged_ = {};
   keys_.assign(kKeys, Key{});
   reported_freed_.clear();
@@ -143,6 +147,7 @@
   const HttpRequest& request = exchange->Request();
   ledger_.OnRun(id, request.path_, request.body_, key, *this);
   ++running_count_;
+  ++runs_;
   std::uint64_t token = 0;
   if (key >= 0) {
     Key& state = keys_[static_cast<std::size_t>(key)];
@@ -192,6 +197,9 @@
 }
 
 void Target::ScheduleHeartbeat(milliseconds delay) {
+  if (has_left_) {
+    return;
+  }
   loop_.CancelTimer(heartbeat_timer_);
   heartbeat_timer_ = loop_.StartTimer(delay, [this, incarnation = incarnation_] {
     heartbeat_timer_ = 0;
@@ -226,6 +234,18 @@
   return body.dump();
 }
 
+HttpCall Target::HeartbeatCall() const {
+  HttpCall call;
+  call.base_url_ = options_.node_control_url_;
+  call.request_ = {
+      "POST",
+      std::string(platform::kInstancesPath) + instance_ + std::string(platform::kHeartbeatSuffix),
+      {{"Content-Type", "application/json"}},
+      HeartbeatBody()};
+  call.timeout_ = kAnswerTimeout;
+  return call;
+}
+
 void Target::SendHeartbeat() {
   ExpireGrants();
   ++sequence_;
@@ -235,16 +255,8 @@
       reported_freed_.push_back(key);
     }
   }
-  HttpCall call;
-  call.base_url_ = options_.node_control_url_;
-  call.request_ = {
-      "POST",
-      std::string(platform::kInstancesPath) + instance_ + std::string(platform::kHeartbeatSuffix),
-      {{"Content-Type", "application/json"}},
-      HeartbeatBody()};
-  call.timeout_ = kAnswerTimeout;
   const BootTime sent = BootClock::now();
-  client_.Start(std::move(call),
+  client_.Start(HeartbeatCall(),
                 [this, sent, incarnation = incarnation_](const HttpResult& result) {
                   if (incarnation == incarnation_) {
                     OnHeartbeatAnswer(result, sent);
@@ -253,7 +265,7 @@
 }
 
 void Target::OnHeartbeatAnswer(const HttpResult& result, BootTime sent) {
-  const bool acknowledged = result.response_ && result.response_.value().status_ == 200;
+  const bool acknowledged = result.response_ && result.response_.value().status_ == kOk;
   if (acknowledged) {
     for (const std::size_t key : reported_freed_) {
       keys_[key].freed_ = false;
@@ -317,20 +329,40 @@
   held_until_ = sent + hold_duration;
 }
 
-void Target::Leave() {
+HttpCall Target::LeaveCall() const {
   HttpCall call;
   call.base_url_ = options_.node_control_url_;
   call.request_ = {
       "POST",
       std::string(platform::kInstancesPath) + instance_ + std::string(platform::kLeaveSuffix),
       {},
-      "{}"};
+      Json{{"born", born_ms_}}.dump()};
   call.timeout_ = kAnswerTimeout;
-  client_.Start(std::move(call), [this, incarnation = incarnation_](const HttpResult&) {
+  return call;
+}
+
+void Target::Leave() {
+  client_.Start(LeaveCall(), [this, incarnation = incarnation_](const HttpResult&) {
     if (incarnation == incarnation_) {
       Crash();
     }
   });
 }
 
+void Target::LeaveFirst() {
+  has_left_ = true;
+  loop_.CancelTimer(heartbeat_timer_);
+  heartbeat_timer_ = 0;
+  client_.Start(LeaveCall(), [this, incarnation = incarnation_](const HttpResult& result) {
+    if (incarnation != incarnation_) {
+      return;
+    }
+    if (result.response_ && result.response_.value().status_ == kOk) {
+      drain_acknowledged_ = BootClock::now();
+      return;
+    }
+    heartbeat_timer_ = loop_.StartTimer(kHeartbeatInterval, [this] { LeaveFirst(); });
+  });
+}
+
 }  // namespace sassafrasbay::soak
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -44,7 +44,16 @@
   void Crash();
   /// Reports the state draining, continues to serve until the drain timeout, then leaves and stops.
   void Drain();
+  /// Leaves without draining first: sends no further heartbeats, repeats the leave until it is
+  /// acknowledged, and continues to serve.
+  void LeaveFirst();
+  /// When the target's drain or leave was acknowledged; the epoch before that.
+  BootTime LeavingAcknowledged() const { return drain_acknowledged_; }
+  /// The newest heartbeat, for tests that deliver it late.
+  HttpCall HeartbeatCall() const;
   bool IsUp() const { return server_ != nullptr; }
+  /// Number of requests that this incarnation has run.
+  int Runs() const { return runs_; }
 
   const std::string& Instance() const override { return instance_; }
   bool Holds(int key) const override;
@@ -76,6 +85,7 @@
   void ApplyGrants(const std::string& body, BootTime sent);
   void ExpireGrants();
   void Leave();
+  HttpCall LeaveCall() const;
 
   ReactorLoop& loop_;
   Ledger& ledger_;
@@ -88,7 +98,9 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t incarnation_ = 0;  ///< Lets timers and answers of earlier incarnations be ignored.
   int running_count_ = 0;
+  int runs_ = 0;
   bool draining_ = false;
+  bool has_left_ = false;  ///< Sends no further heartbeats.
   BootTime drain_acknowledged_{};
   BootTime held_until_{};
   std::vector<Key> keys_;
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -25,6 +25,22 @@
 /// Time in which the nodes choose readers and exchange reports after their start.
 constexpr milliseconds kSettlingTime{3000};
 
+/// From the kill of a process to its next start.
+constexpr milliseconds kRestartDelay{500};
+
+/// From an acknowledgement to the kill of the process that gave it.
+constexpr milliseconds kKillDelay{200};
+
+/// Interval between requests, and the time by which each of them has ended.
+constexpr milliseconds kCallInterval{20};
+constexpr milliseconds kCallTimeout{1000};
+
+/// Time in which the platform requires the acknowledgement of a drain or leave.
+constexpr milliseconds kMaxAcknowledgementDelay{4000};
+
+/// Duration of the requests after a restart; longer than the platform's drain timeout.
+constexpr milliseconds kCallDuration{3000};
+
 /// Each fleet gets a loopback network of its own, since its proxies keep their ports.
 constexpr int kFirstNetwork = 90;
 int fleets_started = 0;
@@ -110,6 +126,52 @@
     return false;
   }
 
+  void KillAndRestartAll() {
+    for (const Vm& vm : fleet_.Vms()) {
+      vm.process_->Kill();
+    }
+    RunFor(kRestartDelay);
+    for (Vm& vm : fleet_.Vms()) {
+      fleet_.StartProcess(vm);
+    }
+    for (const Vm& vm : fleet_.Vms()) {
+      AwaitReady(vm);
+    }
+  }
+
+  /// Sends requests to the booking service at each node in turn. Returns how many were served.
+  int CallBookingService(milliseconds duration) {
+    HttpClient callers(loop_, kNodes);
+    int served = 0;
+    std::size_t sent = 0;
+    const auto timer = loop_.StartRepeatingTimer(kCallInterval, [&] {
+      const std::string id = "call-" + std::to_string(network_) + "-" + std::to_string(++calls_);
+      HttpCall call;
+      call.base_url_ = "http://" + fleet_.Vms()[sent++ % fleet_.Vms().size()].host_ + ":7001";
+      call.request_ = {"GET",
+                       RequestPath(RequestKind::kReport, id),
+                       {{"Host", "soak.example"}, {std::string(platform::kRequestIdHeader), id}},
+                       RequestBody(RequestKind::kReport, id)};
+      ledger_.OnSent(id, RequestKind::kReport);
+      callers.Start(std::move(call), [&](const HttpResult& result) {
+        served += result.response_ && result.response_.value().status_ == kOk ? 1 : 0;
+      });
+    });
+    RunFor(duration);
+    loop_.CancelTimer(timer);
+    RunFor(kCallTimeout);
+    return served;
+  }
+
+  bool AwaitLeavingAcknowledged(const Vm& vm, milliseconds limit) {
+    const BootTime end = BootClock::now() + limit;
+    while (vm.target_->LeavingAcknowledged() == BootTime{} && BootClock::now() < end) {
+      RunFor(kProbeInterval);
+    }
+    return vm.target_->LeavingAcknowledged() != BootTime{};
+  }
+
+  int calls_ = 0;
   int network_ = kFirstNetwork + fleets_started++;
   std::filesystem::path directory_ =
       std::filesystem::temp_directory_path() / ("sassafrasbay-fleet-" + std::to_string(network_));
@@ -210,5 +272,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(LeavingTargets, FleetFixture)
+
+// Guards against requests to a target that has left (DRAIN): the leave was acknowledged and all
+// processes were killed 0.2 s later, so that none of them remembered it when a heartbeat from
+// before the leave arrived late.
+BOOST_AUTO_TEST_CASE(AnAcknowledgedLeaveOutlivesAllProcesses) {
+  const Vm& vm = fleet_.Vms().back();
+  const HttpCall late_heartbeat = vm.target_->HeartbeatCall();
+  vm.target_->LeaveFirst();
+  BOOST_REQUIRE(AwaitLeavingAcknowledged(vm, kMaxAcknowledgementDelay));
+  RunFor(kKillDelay);
+  KillAndRestartAll();
+  BOOST_TEST(Get(late_heartbeat).response_.has_value());
+  BOOST_TEST(CallBookingService(kCallDuration) > 0);
+  BOOST_TEST(ledger_.Violations().empty());
+}
+
+// Guards against the same while the store is away: a leave that can't be recorded isn't
+// acknowledged, the target gets no requests all the same, and the leave is recorded when the store
+// is back.
+BOOST_AUTO_TEST_CASE(ALeaveIsAcknowledgedOnceItIsRecorded) {
+  const Vm& vm = fleet_.Vms().back();
+  const HttpCall late_heartbeat = vm.target_->HeartbeatCall();
+  fleet_.Store().fault_ = stand_ins::StoreFault::kRefuse;
+  vm.target_->LeaveFirst();
+  BOOST_TEST(!AwaitLeavingAcknowledged(vm, kMaxAcknowledgementDelay));
+  const int runs = vm.target_->Runs();
+  BOOST_TEST(CallBookingService(milliseconds(1000)) > 0);
+  BOOST_TEST(vm.target_->Runs() == runs);
+  fleet_.Store().fault_ = stand_ins::StoreFault::kNone;
+  BOOST_REQUIRE(AwaitLeavingAcknowledged(vm, kMaxAcknowledgementDelay));
+  RunFor(kKillDelay);
+  KillAndRestartAll();
+  BOOST_TEST(Get(late_heartbeat).response_.has_value());
+  BOOST_TEST(CallBookingService(kCallDuration) > 0);
+  BOOST_TEST(ledger_.Violations().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace sassafrasbay::soak
--- a/Tests/platform/test_heartbeat_codec.cc
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -96,6 +96,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LeavesMayStateTheStart) {
+  BOOST_TEST((DecodeLeaveBorn(R"({"born":1700000000000})") == 1700000000000));
+  for (const char* body :
+       {"", "{}", "[]", R"({"born":"x"})", R"({"born":-1})", R"({"born":1.5})"}) {
+    BOOST_TEST(!DecodeLeaveBorn(body).has_value(), body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
