Tests: Cover the other answers after which a request is sent again

- A cancelled attempt: its connection closes with it, so that its answer reaches nobody.
- Hops between nodes: by reading only.
A gate answers each forwarded request once, and the router takes an answer only on the connection and for the attempt that is open; a link carries no repeated messages.

--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -249,6 +249,55 @@
   BOOST_TEST(upstream_.connections_ == 2);
 }
 
+// Guards against the same for the other answers after which a request is sent again: a rejection by
+// an upstream that is full, which is repeated without delay, and a failed run of a request that may
+// be repeated.
+BOOST_AUTO_TEST_CASE(ARequestIsSentAgainOnAnotherConnectionAfterAnyFailure) {
+  for (const std::string status : {"503 Service Unavailable", "429 Too Many", "500 Error"}) {
+    const int connections = upstream_.connections_;
+    const std::string id = "request " + status;
+    upstream_.requests_ = 0;
+    upstream_.answer_ = [&](int number, const std::string& request_id) {
+      const std::string failure =
+          "HTTP/1.1 " + status + "\r\nId: " + request_id + "\r\nContent-Length: 0\r\n\r\n";
+      const bool sends_copy = number == 2 && upstream_.connections_ == connections + 1;
+      return number == 1 ? failure : (sends_copy ? failure : "") + Ok(request_id, "has run");
+    };
+    // A new connection for each status: the upstream of before may send a copy on the old one.
+    client_.SetAddress("127.0.0.1:1");
+    client_.SetAddress(upstream_.Address());
+    BOOST_TEST(Call("POST", id).response_.value().status_ == std::stoi(status));
+    BOOST_TEST(Call("POST", id).response_.value().status_ == 200, status);
+    BOOST_TEST(upstream_.connections_ == connections + 2);
+  }
+}
+
+// Guards against the answer of a cancelled attempt that passes for the one of the next request,
+// with the same id or another one: the upstream answers although its caller has gone.
+BOOST_AUTO_TEST_CASE(TheAnswerOfACancelledRequestReachesNobody) {
+  bool answered = false;
+  upstream_.answer_ = [](int number, const std::string& id) {
+    return number == 1 ? std::string("HTTP/1.1 503 Busy\r\n") : Ok(id, "second");
+  };
+  UpstreamCall call;
+  call.request_ = {"POST", "/", {{"Host", "h"}, {"Id", "1"}}, {}};
+  call.timeout_ = milliseconds(500);
+  call.correlation_header_ = "Id";
+  const UpstreamClient::CallId cancelled =
+      client_.Start(call, [&](const UpstreamResult&) { answered = true; });
+  // The first bytes of the answer are there when the request is cancelled.
+  loop_.StartTimer(milliseconds(50), [&] {
+    client_.Cancel(cancelled);
+    loop_.Stop();
+  });
+  RunUntilStopped(loop_);
+  for (const std::string id : {"1", "2"}) {
+    BOOST_TEST(Call("POST", id).response_.value().body_ == "second");
+  }
+  BOOST_TEST(!answered);
+  BOOST_TEST(upstream_.requests_ == 3);
+}
+
 // Guards against an empty or short success when the upstream stops within the head of its response.
 BOOST_AUTO_TEST_CASE(ResponsesThatEndWithinTheirHeadAreErrors) {
   upstream_.close_after_answer_ = true;
