router: Answer every request across a planned stop

What callers saw, in a planned stop without other faults (TestPlannedStop, real processes, before this change): - Requests that were taken up to 2.3 s after SIGTERM and whose upstream was still at work at the end of the grace period ended with a closed connection (6 of 6). - Requests of a class that takes 4 s were taken and passed on 2.1 s after SIGTERM, with 3.4 s left (6 of 6). - Uploads whose bodies were half read were cut off 2.4 s after SIGTERM, although 5.5 s are available (2 of 3). - Answers of the local upstream to other nodes that waited for a link of 10 Mbit/s were dropped with the process: 502 for 8 of 8 binding requests that had run.

Cause: the end of the process rested on the router's and the gate's requests and on dispatched exchanges only; at the limit the loop was stopped with whatever was open; and requests were refused by their deadline only, from 2.3 s on. That each response announces the end of its connection was meant, but the header was dropped as one of the hop.

Requests that can't be expected to end in time are refused at once (503, not run). After SIGTERM each response closes its connection (HttpServer::CloseAfterResponses).

--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -46,6 +46,7 @@
   Result<void> Start(int listen_socket, unsigned max_connections);
   void SetLimits(const HttpLimits& limits) override { limits_ = limits; }
   void StopAccepting() override;
+  void CloseAfterResponses() override { closes_connections_ = true; }
   std::size_t OpenExchanges() const override { return open_exchanges_; }
   std::uint16_t Port() const override { return port_; }
   ReactorLoop& Loop() { return loop_; }
@@ -78,6 +79,7 @@
   int epoll_descriptor_ = -1;
   std::uint16_t port_ = 0;
   bool accepting_ = true;
+  bool closes_connections_ = false;  // After each response.
   std::size_t open_exchanges_ = 0;
   std::unordered_set<ExchangeState*> suspended_;
   std::unordered_map<MHD_Connection*, BootTime> deadlines_;  // Of all that aren't suspended.
@@ -200,6 +202,7 @@
 
 MHD_Result Server::BeginRequest(ExchangeState& exchange, const char* method) {
   exchange.started_ = true;
+  ++open_exchanges_;
   exchange.request_.method_ = method;
   exchange.request_.headers_ = ReadHeaders(exchange.connection_);
   SetTimeout(exchange.connection_, kTransferTimeout);
@@ -239,7 +242,6 @@
 MHD_Result Server::Dispatch(const ExchangeStatePointer& exchange) {
   exchange->dispatched_ = true;
   exchange->phase_ = ExchangePhase::kWaiting;
-  ++open_exchanges_;
   handler_(MakeExchangeHandle(exchange));
   if (exchange->phase_ == ExchangePhase::kAnswered) {
     return SendResponse(*exchange);
@@ -257,7 +259,7 @@
   const int status = exchange.response_.status_;
   const bool valid = status >= MHD_HTTP_OK && status < 600;
   MHD_Response* response = MakeResponse(exchange.response_);
-  if (!accepting_) {
+  if (!accepting_ || closes_connections_) {
     MHD_add_response_header(response, "Connection", "close");
   }
   const auto code = static_cast<unsigned>(valid ? status : MHD_HTTP_INTERNAL_SERVER_ERROR);
@@ -296,7 +298,7 @@
 
 void Server::OnCompleted(ExchangeState& exchange) {
   SetTimeout(exchange.connection_, limits_.idle_timeout_);
-  if (exchange.dispatched_) {
+  if (exchange.started_) {
     --open_exchanges_;
   }
   exchange.phase_ = ExchangePhase::kClosed;
--- a/Libraries/LibTransport/http_server.h
+++ b/Libraries/LibTransport/http_server.h
@@ -44,7 +44,10 @@
   /// Stops accepting connections. Open exchanges can still be answered; their connections are then
   /// closed.
   virtual void StopAccepting() = 0;
-  /// Number of requests passed to the handler that are not finished.
+  /// Lets every further response announce that its connection closes after it.
+  virtual void CloseAfterResponses() = 0;
+  /// Number of requests that have begun and are not finished: their bodies are being received, or
+  /// their responses have not been sent.
   virtual std::size_t OpenExchanges() const = 0;
   virtual std::uint16_t Port() const = 0;
 };
--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "LibCore/logging.h"
 #include "platform/request_translation.h"
@@ -210,18 +211,34 @@
     return;
   }
   found->second.deadline_timer_ = 0;
-  const bool never_sent =
-      found->second.location_ == Location::kUnassigned && found->second.sent_ == 0;
   if (found->second.location_ == Location::kPeer) {
     CountRefused(peers_[found->second.node_].throttle_);
   }
-  CancelAttempt(number, found->second);
+  GiveUp(number, "deadline", "timed-out");
+}
+
+void RequestRouter::GiveUp(std::uint64_t number, std::string_view refusal,
+                           std::string_view outcome) {
+  Pending& pending = pending_.at(number);
+  const bool never_sent = pending.location_ == Location::kUnassigned && pending.sent_ == 0;
+  CancelAttempt(number, pending);
   if (never_sent) {
-    Refuse(number, "deadline");
+    Refuse(number, refusal);
     return;
   }
-  Finish(number, platform::MakeRouterResponse(kGatewayTimeout, "timed out", std::nullopt),
-         "timed-out");
+  Finish(number, platform::MakeRouterResponse(kGatewayTimeout, outcome, std::nullopt), outcome);
+}
+
+// A closed connection would tell the callers less than an answer.
+void RequestRouter::AnswerOpenRequests() {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(pending_.size());
+  for (const auto& [number, pending] : pending_) {
+    numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) {
+    GiveUp(number, "node-ending", "node-ended");
+  }
 }
 
 void RequestRouter::OnAbandoned(std::uint64_t number) {
@@ -272,9 +289,6 @@
   shared_.metrics_.Count("sassafrasbay_requests_total", labels);
   shared_.metrics_.Observe("sassafrasbay_request_ms", labels, took);
   LogOutcome(pending, response.status_, outcome, took);
-  if (shutdown_deadline_) {
-    response.headers_.emplace_back("Connection", "close");
-  }
   links_.CountOtherTraffic(response.body_.size());
   pending.exchange_->Respond(std::move(response));
 }
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -20,6 +20,9 @@
 /// Smoothed ratio of failures above which an upstream is avoided.
 constexpr double kFailureRatioThreshold = 0.3;
 
+/// Multiple of its smoothed service time within which nearly all requests of a class end.
+constexpr double kServiceTimeMargin = 2;
+
 double ServiceTimeOf(std::span<const ServiceTime> times, std::string_view request_class) {
   const auto found = std::find_if(times.begin(), times.end(), [&](const ServiceTime& time) {
     return time.class_ == request_class;
@@ -121,7 +124,6 @@
   pending.objective_ = pending.received_at_ + std::min(route.objective_, limit);
   if (refuses_long_requests_ && pending.deadline_ > *shutdown_deadline_) {
     refusal = platform::MakeRouterResponse(kUnavailable, "this node ends", kDefaultRetryAfter);
-    refusal.headers_.emplace_back("Connection", "close");
     return MakeError(Errc::kUnavailable, kOperation, {},
                      "this node shuts down before the request's deadline");
   }
@@ -243,10 +245,29 @@
   SendTo(number, candidates[*choice].node_);
 }
 
+// Nothing is known of a class that hasn't run lately.
+bool RequestRouter::OutlastsShutdown(const Pending& pending, const std::string& node) const {
+  if (!shutdown_deadline_ || pending.deadline_ <= *shutdown_deadline_) {
+    return false;
+  }
+  const auto peer = peers_.find(node);
+  const double expected_ms = peer == peers_.end()
+                                 ? ServiceTimeOf(gate_.ServiceTimes(), pending.request_.class_)
+                                 : ServiceTimeOf(peer->second.latest_report_.report_.service_times_,
+                                                 pending.request_.class_);
+  const auto margin = std::chrono::duration_cast<BootTime::duration>(
+      std::chrono::duration<double, std::milli>(kServiceTimeMargin * expected_ms));
+  return expected_ms == 0 || BootClock::now() + margin > *shutdown_deadline_;
+}
+
 void RequestRouter::SendTo(std::uint64_t number, const std::string& node) {
   Pending& pending = pending_.at(number);
   const BootTime now = BootClock::now();
   pending.node_ = node;
+  if (OutlastsShutdown(pending, node)) {
+    Refuse(number, "node-ending");
+    return;
+  }
   pending.request_.remaining_ms_ = MillisecondsUntil(pending.deadline_, now);
   pending.request_.objective_ms_ = MillisecondsUntil(pending.objective_, now);
   if (node == shared_.self_) {
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -44,10 +44,13 @@
   void SetReport(const ReceivedReport& received_report);
   /// Sets the service that callers on this VM belong to.
   void SetCallerService(std::string service) { caller_service_ = std::move(service); }
-  /// Sets the time at which the process ends. From now on, answers close their connections.
+  /// Sets the time at which open requests are given up because the process ends. From now on,
+  /// requests that are expected to take longer are refused.
   void SetShutdownDeadline(BootTime end) { shutdown_deadline_ = end; }
   /// Refuses new requests whose deadline is after the shutdown deadline.
   void RefuseLongRequests() { refuses_long_requests_ = true; }
+  /// Gives up all open requests and answers their callers.
+  void AnswerOpenRequests();
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
   void OnAnswer(ConnectionId connection, ForwardedAnswer answer);
@@ -116,6 +119,10 @@
   bool MayRetry(Pending& pending, bool reached_upstream);
   void Retry(std::uint64_t number, milliseconds delay);
   void OnDeadline(std::uint64_t number);
+  /// Whether the request may still run at that node's upstream when this process ends.
+  bool OutlastsShutdown(const Pending& pending, const std::string& node) const;
+  /// Cancels the open attempt and answers 503 if the request was never sent, otherwise 504.
+  void GiveUp(std::uint64_t number, std::string_view refusal, std::string_view outcome);
   void OnAbandoned(std::uint64_t number);
   void CancelAttempt(std::uint64_t number, Pending& pending);
   void RecordAttemptEnd(Pending& pending, bool failed);
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -28,11 +28,6 @@
 /// state takes a link of 10 Mbit/s for some hundred milliseconds, so not all nodes may send it.
 constexpr std::size_t kStateSendersPerTurn = 2;
 
-/// Time after SIGTERM in which callers learn from two failed readiness checks, one second apart, to
-/// use other nodes.
-constexpr milliseconds kCallerDrainDelay{2300};
-constexpr milliseconds kIdlePollInterval{20};
-
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -377,40 +372,4 @@
   loop_.Post([this, service] { router_.SetCallerService(service); });
 }
 
-void TrafficThread::ShutDown(milliseconds limit, std::function<void()> done) {
-  loop_.Post([this, limit, done = std::move(done)] {
-    leaving_ = true;
-    const BootTime now = BootClock::now();
-    router_.SetShutdownDeadline(now + limit);
-    gate_.SetShutdownDeadline(now + limit);
-    SendReports();
-    ShutDownWhenIdle(now + kCallerDrainDelay, now + limit, done);
-  });
-}
-
-void TrafficThread::ShutDownWhenIdle(BootTime earliest, BootTime latest,
-                                     const std::function<void()>& done) {
-  const BootTime now = BootClock::now();
-  // Callers may continue to connect when few nodes of a data centre are ready. From here on new
-  // connections and new requests at the gate are refused, so that the open ones can end.
-  if (now > earliest && !stopped_accepting_) {
-    stopped_accepting_ = true;
-    callers_->StopAccepting();
-    router_.RefuseLongRequests();
-    gate_.StopAdmitting();
-    // Other nodes then stop sending, so that no request arrives while this process ends.
-    SendReports();
-  }
-  const bool idle = router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0;
-  if (now > latest || (now > earliest && idle)) {
-    LogInfo(kPart, std::string("leaving idle=") + (idle ? "true." : "false."));
-    // Stopped before `done`, so that no further request is read from a kept-alive connection.
-    loop_.Stop();
-    done();
-    return;
-  }
-  loop_.StartTimer(kIdlePollInterval,
-                   [this, earliest, latest, done] { ShutDownWhenIdle(earliest, latest, done); });
-}
-
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -56,6 +56,8 @@
   void SendDemand();
   NodeReport MakeReport() const;
   HttpResponse MakeReadinessResponse() const;
+  /// Whether all requests have ended and their answers have been sent.
+  bool IsIdle() const;
   void ShutDownWhenIdle(BootTime earliest, BootTime latest, const std::function<void()>& done);
 
   RouterShared& shared_;
@@ -75,6 +77,8 @@
   std::map<std::pair<ConnectionId, std::uint64_t>, UpstreamGate::RequestNumber> forwarded_requests_;
   bool leaving_ = false;
   bool stopped_accepting_ = false;  ///< New requests are refused; the process ends soon.
+  bool gave_up_open_requests_ = false;
+  BootTime busy_at_{};  ///< When requests were last open, once the process is shutting down.
 };
 
 }  // namespace sassafrasbay
--- a/Tests/LibTransport/test_http_server.cc
+++ b/Tests/LibTransport/test_http_server.cc
@@ -75,6 +75,50 @@
   BOOST_TEST(server->OpenExchanges() == 0U);
 }
 
+// Guards against callers that keep sending over connections of a process that is about to end,
+// since its responses don't announce that.
+BOOST_AUTO_TEST_CASE(ConnectionsCloseAfterTheNextResponseIfAsked) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    exchange->Respond(HttpResponse{200, {}, "done."});
+  });
+  std::string kept;
+  std::string closing;
+  bool closed = false;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send(GetText("/"));
+    kept = caller.ReadUntil("done.");
+    loop.Post([&] { server->CloseAfterResponses(); });
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.Send(GetText("/"));
+    closing = caller.ReadUntil("done.");
+    closed = caller.IsClosedByPeer();
+  });
+  BOOST_TEST(kept.find("Connection: close") == std::string::npos);
+  BOOST_TEST(closing.find("Connection: close") != std::string::npos);
+  BOOST_TEST(closed);
+}
+
+// Guards against a process that ends while it still reads the body of a request.
+BOOST_AUTO_TEST_CASE(ARequestIsOpenWhileItsBodyIsRead) {
+  ReactorLoop loop;
+  const auto server = StartServer(loop, [&](const ExchangePointer& exchange) {
+    exchange->Respond(HttpResponse{200, {}, "done."});
+  });
+  std::size_t open = 0;
+  RunWithPeer(loop, [&] {
+    const LoopbackSocket caller(LoopbackSocket::ConnectTo(server->Port()));
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nx");
+    std::this_thread::sleep_for(milliseconds(50));
+    loop.Post([&] { open = server->OpenExchanges(); });
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.Send("yz");
+    caller.ReadUntil("done.");
+  });
+  BOOST_TEST(open == 1U);
+}
+
 // Guards against changed limits that do not take effect in a running server.
 BOOST_AUTO_TEST_CASE(SetLimitsAppliesToLaterRequests) {
   ReactorLoop loop;
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -103,7 +103,8 @@
          "[listen-addrs]\noutbound-addr = " + quoted_host + std::to_string(kCallersPort) +
          "\"\nready-addr = " + quoted_host + std::to_string(kReadyPort) +
          "\"\ncontrol-addr = " + quoted_host + std::to_string(kHeartbeatPort) +
-         "\"\n[platform]\naddr = \"" + HostAndPort("127.0.0.1", store_proxy) + "\"\n";
+         "\"\n[platform]\naddr = \"" + HostAndPort("127.0.0.1", store_proxy) + "\"\n" +
+         (link_mbps_ > 0 ? "[limits]\nlink-mbps = " + std::to_string(link_mbps_) + "\n" : "");
 }
 
 void Fleet::StartProcess(Vm& vm) {
@@ -125,14 +126,14 @@
 
 std::uint64_t Fleet::WriteConfiguration() {
   const auto route = [](const char* name, const char* kind, int priority, const std::string& prefix,
-                        std::string_view service) {
+                        std::string_view service, const char* timeout = "800ms") {
     return nlohmann::json{
         {"name", name},
         {"kind", kind},
         {"slo", "300ms"},
         {"priority", priority},
         {"match", {{"path-prefix", prefix}}},
-        {"action", {{"service", std::string(service)}, {"timeout", "800ms"}, {"max-attempts", 2}}}};
+        {"action", {{"service", std::string(service)}, {"timeout", timeout}, {"max-attempts", 2}}}};
   };
   const auto cluster = [](std::string_view name, bool sharded) {
     return nlohmann::json{{"name", std::string(name)},
@@ -154,6 +155,7 @@
           {route("lookup", "idempotent", 2, "/lookup/", kLookupService),
            route("report", "idempotent", 2, "/report/", kBookingService),
            route("book", "non_idempotent", 0, "/book/", kBookingService),
+           route("long", "non_idempotent", 1, "/long/", kBookingService, "12000ms"),
            route("version", "idempotent", 2, VersionPath(version_), kBookingService)}}}}},
       {"clusters", {cluster(kLookupService, true), cluster(kBookingService, false)}}};
   store_.Append(platform::kOperatorTopic, platform::kConfigurationKey, configuration.dump());
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -57,6 +57,9 @@
   /// Prefix of a route that only this version of the configuration has.
   static std::string VersionPath(std::uint64_t version);
 
+  /// Sets the rate of the VMs' links in the settings of later starts; 0 for no limit.
+  void SetLinkRate(double megabits_per_second) { link_mbps_ = megabits_per_second; }
+
   std::vector<Vm>& Vms() { return vms_; }
   stand_ins::StoreStandIn& Store() { return store_; }
 
@@ -75,6 +78,7 @@
   stand_ins::Proxy proxy_;
   std::vector<Vm> vms_;
   std::uint64_t version_ = 0;
+  double link_mbps_ = 0;
 };
 
 }  // namespace sassafrasbay::soak
--- a/Tests/Soak/ledger.cc
+++ b/Tests/Soak/ledger.cc
@@ -13,6 +13,12 @@
 
 constexpr int kOk = 200;
 
+constexpr std::size_t kMaxQuotedBytes = 80;  ///< Of an answer in a report.
+
+bool IsBinding(RequestKind kind) {
+  return kind == RequestKind::kBooking || kind == RequestKind::kLong;
+}
+
 /// Whether the status states that the request has not been run and will not be.
 bool IsRefusalStatus(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -21,16 +27,19 @@
 }  // namespace
 
 std::string RequestPath(RequestKind kind, std::string_view id) {
-  constexpr std::string_view kPrefixes[] = {"/lookup/", "/report/", "/book/"};
+  constexpr std::string_view kPrefixes[] = {"/lookup/", "/report/", "/book/", "/long/"};
   return std::string(kPrefixes[static_cast<std::size_t>(kind)]) + std::string(id) +
          "?of=" + std::string(id);
 }
 
 std::string RequestBody(RequestKind kind, std::string_view id) {
-  return kind == RequestKind::kBooking ? "booking " + std::string(id) : std::string();
+  return IsBinding(kind) ? "booking " + std::string(id) : std::string();
 }
 
-std::string AnswerBody(std::string_view id) { return "done " + std::string(id); }
+std::string AnswerBody(RequestKind kind, std::string_view id) {
+  return "done " + std::string(id) +
+         std::string(kind == RequestKind::kLong ? kLongAnswerBytes : 0, 'x');
+}
 
 std::string StampValue(std::string_view id) { return "stamp-" + std::string(id); }
 
@@ -57,7 +66,7 @@
                  "request " + id + " arrived with a changed body or path: " + std::string(path));
   }
   ++request.runs_;
-  if (request.kind_ == RequestKind::kBooking && request.runs_ > 1) {
+  if (IsBinding(request.kind_) && request.runs_ > 1) {
     AddViolation("TWICE", "booking " + id + " is run a second time, at " + target.Instance());
   }
   if (request.refused_) {
@@ -90,9 +99,9 @@
   if (answer.status_ == kOk) {
     ++recovery_served_;
     const bool stamped = FindHeader(answer.headers_, kStampHeader) == StampValue(id);
-    if (answer.body_ != AnswerBody(id) || !stamped) {
+    if (answer.body_ != AnswerBody(request.kind_, id) || !stamped) {
       AddViolation("MIXED", "request " + id + " got a response that is not its own: \"" +
-                                answer.body_ + "\"");
+                                answer.body_.substr(0, kMaxQuotedBytes) + "\"");
     }
   }
   if (!IsRefusalStatus(answer.status_)) {
--- a/Tests/Soak/ledger.h
+++ b/Tests/Soak/ledger.h
@@ -26,8 +26,12 @@
   kLookup,   ///< Idempotent; the route is sharded, so each request carries a key.
   kReport,   ///< Idempotent, without a key.
   kBooking,  ///< Not idempotent, without a key.
+  kLong,     ///< Not idempotent, without a key, with a large answer and a timeout of 12 s.
 };
 
+/// Size of the answer to a request of the kind kLong beyond that of the others.
+inline constexpr std::size_t kLongAnswerBytes = 300U << 10U;
+
 /// Records what callers and targets observe, and reports each rule of the platform that these
 /// observations break. Not thread-safe.
 class Ledger {
@@ -64,6 +68,9 @@
   /// Fraction of the requests sent since `BeginRecoveryMeasurement` that got status 200.
   double RecoveredFraction() const;
 
+  /// Whether a target has begun to run the request.
+  bool HasRun(const std::string& id) const { return requests_.at(id).runs_ > 0; }
+
   std::string Summary() const;
   const std::vector<std::string>& Violations() const { return violations_; }
 
@@ -104,7 +111,7 @@
 std::string RequestPath(RequestKind kind, std::string_view id);
 std::string RequestBody(RequestKind kind, std::string_view id);
 /// Body of a target's successful response to the request.
-std::string AnswerBody(std::string_view id);
+std::string AnswerBody(RequestKind kind, std::string_view id);
 /// Header that only a target sets, and its value for the request.
 inline constexpr std::string_view kStampHeader = "X-Server-Stamp";
 std::string StampValue(std::string_view id);
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -27,6 +27,8 @@
 
 constexpr int kOk = 200;
 
+constexpr std::string_view kLongPrefix = "/long/";
+
 constexpr int kMinWorkMs = 5;
 constexpr int kMaxWorkMs = 80;
 
@@ -155,8 +157,11 @@
     state.last_run_start_ = BootClock::now();
     token = state.held_token_;
   }
-  const milliseconds work(std::uniform_int_distribution<int>(kMinWorkMs, kMaxWorkMs)(random_));
-  loop_.StartTimer(work, [this, exchange, id, key, token, incarnation = incarnation_] {
+  const bool is_long = request.path_.starts_with(kLongPrefix);
+  const milliseconds short_work(
+      std::uniform_int_distribution<int>(kMinWorkMs, kMaxWorkMs)(random_));
+  loop_.StartTimer(is_long ? long_work_ : short_work, [this, exchange, id, key, token, is_long,
+                                                       incarnation = incarnation_] {
     if (incarnation != incarnation_) {
       return;
     }
@@ -171,7 +176,9 @@
     HttpResponse answer{grant_ended ? 500 : 200,
                         {{std::string(platform::kRequestIdHeader), id},
                          {std::string(kStampHeader), StampValue(id)}},
-                        grant_ended ? "outlasted its grant\n" : AnswerBody(id)};
+                        grant_ended
+                            ? "outlasted its grant\n"
+                            : AnswerBody(is_long ? RequestKind::kLong : RequestKind::kReport, id)};
     exchange->Respond(std::move(answer));
   });
 }
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -52,6 +52,8 @@
   /// The newest heartbeat, for tests that deliver it late.
   HttpCall HeartbeatCall() const;
   bool IsUp() const { return server_ != nullptr; }
+  /// Sets the work on each later request of the kind kLong.
+  void SetLongWork(milliseconds work) { long_work_ = work; }
   /// Number of requests that this incarnation has run.
   int Runs() const { return runs_; }
 
@@ -97,6 +99,7 @@
   std::int64_t born_ms_ = 0;
   std::uint64_t sequence_ = 0;
   std::uint64_t incarnation_ = 0;  ///< Lets timers and answers of earlier incarnations be ignored.
+  milliseconds long_work_{1000};
   int running_count_ = 0;
   int runs_ = 0;
   bool draining_ = false;
--- a/Tests/Soak/test_ledger.cc
+++ b/Tests/Soak/test_ledger.cc
@@ -44,7 +44,7 @@
 };
 
 HttpResponse GoodAnswer(const std::string& id) {
-  return {200, {{std::string(kStampHeader), StampValue(id)}}, AnswerBody(id)};
+  return {200, {{std::string(kStampHeader), StampValue(id)}}, AnswerBody(RequestKind::kReport, id)};
 }
 
 BOOST_FIXTURE_TEST_SUITE(Ledgers, LedgerFixture)
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -1,16 +1,12 @@
 #define BOOST_TEST_MODULE StoreRecords
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <random>
 #include <string>
 
 #include "LibOwnership/fleet_records.h"
-#include "LibTransport/http_client.h"
-#include "Soak/fleet.h"
+#include "Soak/fleet_fixture.h"
 #include "platform/wire_names.h"
 #include "router/key_table_writer.h"
 
@@ -20,12 +16,6 @@
 /// Time within which the platform requires a configuration in force, as in the fleet's settings.
 constexpr milliseconds kMaxConfigurationDelay{2000};
 
-constexpr milliseconds kStartTimeout{20'000};
-constexpr milliseconds kProbeInterval{25};
-
-/// Time in which the nodes choose readers and exchange reports after their start.
-constexpr milliseconds kSettlingTime{3000};
-
 /// From the kill of a process to its next start.
 constexpr milliseconds kRestartDelay{500};
 
@@ -42,48 +32,12 @@
 /// Duration of the requests after a restart; longer than the platform's drain timeout.
 constexpr milliseconds kCallDuration{3000};
 
-/// Each fleet gets a loopback network of its own, since its proxies keep their ports.
 constexpr int kFirstNetwork = 90;
-int fleets_started = 0;
 
-constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
-struct FleetFixture {
-  FleetFixture() {
-    std::signal(SIGPIPE, SIG_IGN);
-    std::filesystem::remove_all(directory_);
-    std::filesystem::create_directories(directory_);
-    BOOST_REQUIRE(fleet_.Start().has_value());
-    for (const Vm& vm : fleet_.Vms()) {
-      AwaitReady(vm);
-    }
-    RunFor(kSettlingTime);
-  }
-
-  HttpResult Get(HttpCall call) {
-    std::optional<HttpResult> received;
-    client_.Start(std::move(call), [&](HttpResult result) {
-      received = std::move(result);
-      loop_.Stop();
-    });
-    loop_.Run();
-    return std::move(*received);
-  }
-
-  void AwaitReady(const Vm& vm) {
-    HttpCall call;
-    call.base_url_ = "http://" + vm.host_ + ":7002";
-    call.request_ = {"GET", "/-/ready", {}, {}};
-    const BootTime end = BootClock::now() + kStartTimeout;
-    bool ready = false;
-    while (!ready && BootClock::now() < end) {
-      const HttpResult result = Get(call);
-      ready = result.response_ && result.response_.value().status_ == kOk;
-      RunFor(kProbeInterval);
-    }
-    BOOST_REQUIRE(ready);
-  }
+struct RecordsFixture : FleetFixture {
+  RecordsFixture() : FleetFixture(kFirstNetwork) {}
 
   /// A key that the target beside the node holds.
   static std::optional<int> HeldKey(const Vm& vm) {
@@ -131,11 +85,6 @@
     }
   }
 
-  void RunFor(milliseconds time) {
-    loop_.StartTimer(time, [this] { loop_.Stop(); });
-    loop_.Run();
-  }
-
   /// Whether the node has a route that exists only in this version of the configuration. The time
   /// left is too short for the request to be sent to a target.
   bool HasConfiguration(std::size_t node, std::uint64_t version) {
@@ -209,17 +158,9 @@
   }
 
   int calls_ = 0;
-  int network_ = kFirstNetwork + fleets_started++;
-  std::filesystem::path directory_ =
-      std::filesystem::temp_directory_path() / ("sassafrasbay-fleet-" + std::to_string(network_));
-  ReactorLoop loop_;
-  Ledger ledger_;
-  std::mt19937_64 random_{1};
-  Fleet fleet_{loop_, ledger_, random_, network_, directory_};
-  HttpClient client_{loop_, 1};
 };
 
-BOOST_FIXTURE_TEST_SUITE(ConfigurationInForce, FleetFixture)
+BOOST_FIXTURE_TEST_SUITE(ConfigurationInForce, RecordsFixture)
 
 // Guards against a configuration in force too late because the nodes that read the store for the
 // others, and the next ones in their place, have silently lost it.
@@ -248,7 +189,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(OddRecords, FleetFixture)
+BOOST_FIXTURE_TEST_SUITE(OddRecords, RecordsFixture)
 
 // Guards against two owners of a key (OWNER): a heartbeat of another writer, with a service that no
 // configuration names, passed for a new incarnation, and the keys of the upstream that was up went
@@ -300,7 +241,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(LeavingTargets, FleetFixture)
+BOOST_FIXTURE_TEST_SUITE(LeavingTargets, RecordsFixture)
 
 // Guards against requests to a target that has left (DRAIN): the leave was acknowledged and all
 // processes were killed 0.2 s later, so that none of them remembered it when a heartbeat from
