router: Ask the port which incarnation runs

A health check at the upstream's port names the incarnation that runs there, which is proof without a further heartbeat. It is sent once for an incarnation that isn't confirmed, if this node has keys of an earlier one; the answer to the heartbeat waits for it (0.4 s at most), so that it can grant them. Without an answer, the second heartbeat confirms as before. A foreign heartbeat gains nothing: the port names the upstream that is up.

AFirstHeartbeatIsConfirmedAtThePort (seven real processes): keys come with the second heartbeat without the check, with the first one with it.

--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -124,6 +124,14 @@
   return effect;
 }
 
+bool ConfirmIncarnation(UpstreamRegistry& registry, const Holder& holder) {
+  if (registry.is_confirmed_ || registry.local_upstream_.holder_ != holder) {
+    return false;
+  }
+  registry.is_confirmed_ = true;
+  return true;
+}
+
 std::int64_t ConfirmedBornMs(const UpstreamRegistry& registry) {
   return registry.is_confirmed_ ? registry.newest_->born_ms_ : 0;
 }
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -22,7 +22,8 @@
 struct UpstreamRegistry {
   std::string self_;                         ///< Peer address of this node.
   std::optional<UpstreamHeartbeat> newest_;  ///< The latest heartbeat of the current incarnation.
-  /// Whether the current incarnation has sent two heartbeats to this process.
+  /// Whether the current incarnation certainly runs: it has sent two heartbeats to this process,
+  /// answers at the port, or has followed one whose port refused connections.
   bool is_confirmed_ = false;
   /// The latest heartbeat of a later incarnation that isn't confirmed yet.
   std::optional<UpstreamHeartbeat> challenger_;
@@ -47,6 +48,10 @@
 HeartbeatEffect RecordHeartbeat(UpstreamRegistry& registry, UpstreamHeartbeat heartbeat,
                                 BootTime now);
 
+/// Records that the incarnation answers at the upstream's port, so that those before it have ended.
+/// Returns false unless it is the current one and that was unknown.
+bool ConfirmIncarnation(UpstreamRegistry& registry, const Holder& holder);
+
 /// Unix time in milliseconds before which all incarnations beside this node have certainly started
 /// that have ended; 0 when none has.
 std::int64_t ConfirmedBornMs(const UpstreamRegistry& registry);
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -3,6 +3,7 @@
 
 #include "LibCore/logging.h"
 #include "platform/heartbeat_codec.h"
+#include "platform/wire_names.h"
 #include "router/control_thread.h"
 
 namespace sassafrasbay {
@@ -14,6 +15,9 @@
 /// registration and the configuration.
 constexpr milliseconds kStartupPeriod{3000};
 
+/// Timeout of the probe of an upstream's port. The answer to its heartbeat waits for it.
+constexpr milliseconds kProbeTimeout{400};
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -89,6 +93,7 @@
     Decide();
   }
   pending_heartbeats_.push_back({exchange, now, received_heartbeat.draining_});
+  ProbeIncarnation();
   WriteLeaving();
   AnswerPendingHeartbeats();
 }
@@ -104,6 +109,9 @@
   if (!registry_.newest_ || (routes_ != nullptr && !IsSharded(registry_.newest_->service_))) {
     return false;
   }
+  if (probe_pending_) {
+    return true;
+  }
   // A process that has just started learns the owners of the keys within milliseconds.
   if (!registered_at_ || routes_ == nullptr) {
     return BootClock::now() - started_ < kStartupPeriod;
@@ -136,6 +144,49 @@
                                shared_.environment_.max_grant_duration_);
 }
 
+bool ControlThread::OwnsKeysOfEarlierIncarnation() const {
+  const Holder& current = *registry_.local_upstream_.holder_;
+  return std::any_of(records_.tables_.begin(), records_.tables_.end(), [&](const auto& table) {
+    return std::any_of(table.second->ranges_.begin(), table.second->ranges_.end(),
+                       [&](const KeyRange& range) {
+                         return range.owner_.node_ == shared_.self_ && range.owner_ != current;
+                       });
+  });
+}
+
+// Until the incarnation is confirmed, the keys of an earlier one stay with it. Its next heartbeat
+// would confirm it too, about a second later.
+void ControlThread::ProbeIncarnation() {
+  if (probe_pending_ || registry_.is_confirmed_ || !registry_.newest_ || routes_ == nullptr ||
+      probed_ == registry_.local_upstream_.holder_ || !OwnsKeysOfEarlierIncarnation()) {
+    return;
+  }
+  const auto service = routes_->services_.find(registry_.newest_->service_);
+  if (service == routes_->services_.end() || service->second.health_path_.empty()) {
+    return;
+  }
+  probe_pending_ = true;
+  const Holder holder = *registry_.local_upstream_.holder_;
+  probed_ = holder;
+  HttpCall call;
+  call.base_url_ = "http://" + shared_.environment_.upstream_;
+  call.request_ = {"GET", service->second.health_path_, {}, {}};
+  call.timeout_ = kProbeTimeout;
+  call.connect_timeout_ = kProbeTimeout;
+  client_.Start(std::move(call), [this, holder](const HttpResult& result) {
+    probe_pending_ = false;
+    const std::string instance(
+        result.response_ ? FindHeader(result.response_.value().headers_, platform::kInstanceHeader)
+                         : std::string_view());
+    LogInfo(kPart, "upstream=" + holder.instance_ + " probed; instance=\"" + instance +
+                       "\" answers at its port.");
+    if (instance == holder.instance_ && ConfirmIncarnation(registry_, holder)) {
+      ScheduleUpdate();
+    }
+    AnswerPendingHeartbeats();
+  });
+}
+
 void ControlThread::AnswerPendingHeartbeats() {
   if (pending_heartbeats_.empty()) {
     return;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -100,6 +100,10 @@
   void WriteLeaving();
   void AnswerPendingLeaves();
   void AnswerPendingHeartbeats();
+  /// Asks the upstream's port which incarnation runs there, if that decides on the keys of earlier
+  /// ones.
+  void ProbeIncarnation();
+  bool OwnsKeysOfEarlierIncarnation() const;
   HeartbeatAnswer MakeHeartbeatAnswer() const;
   bool ShouldDelayAnswer() const;
   /// Whether the settings or the configuration in force name the service.
@@ -148,6 +152,8 @@
   std::map<std::string, std::pair<DemandReport, BootTime>> demand_;
   UpstreamRegistry registry_;
   std::vector<PendingHeartbeat> pending_heartbeats_;
+  bool probe_pending_ = false;
+  std::optional<Holder> probed_;  ///< The newest incarnation that was probed.
   std::vector<PendingLeave> pending_leaves_;
   /// Upstream that leaves by the newest registration of this node, whichever process wrote it.
   std::optional<LeavingUpstream> recorded_leaving_;
--- a/Tests/LibOwnership/test_upstream_registry.cc
+++ b/Tests/LibOwnership/test_upstream_registry.cc
@@ -73,6 +73,17 @@
   BOOST_TEST(ConfirmedBornMs(registry_) == 300);
 }
 
+// A restarted node and upstream need no second heartbeat if the port tells which incarnation runs.
+BOOST_AUTO_TEST_CASE(AnAnswerAtThePortConfirmsTheCurrentIncarnation) {
+  registry_.self_ = "a";
+  Record("i-2", 200, 1, 0);
+  BOOST_TEST(!ConfirmIncarnation(registry_, {"a", "i-1", 100}));
+  BOOST_TEST(ConfirmedBornMs(registry_) == 0);
+  BOOST_TEST(ConfirmIncarnation(registry_, {"a", "i-2", 200}));
+  BOOST_TEST(ConfirmedBornMs(registry_) == 200);
+  BOOST_TEST(!ConfirmIncarnation(registry_, {"a", "i-2", 200}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -27,6 +27,7 @@
 
 constexpr int kOk = 200;
 
+constexpr std::string_view kHealthPath = "/healthz";
 constexpr std::string_view kLongPrefix = "/long/";
 
 constexpr int kMinWorkMs = 5;
@@ -130,6 +131,10 @@
   std::from_chars(key_text.data(), key_text.data() + key_text.size(), key);
   const std::string_view expected = FindHeader(request.headers_, platform::kExpectedInstanceHeader);
   ExpireGrants();
+  if (request.path_ == kHealthPath) {
+    exchange->Respond({kOk, {{std::string(platform::kInstanceHeader), instance_}}, "ok\n"});
+    return;
+  }
   if (expected != instance_ || (options_.sharded_ && (key < 0 || !Holds(key)))) {
     exchange->Respond(NotRun(421));
     return;
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -54,6 +54,7 @@
   bool IsUp() const { return server_ != nullptr; }
   /// Sets the work on each later request of the kind kLong.
   void SetLongWork(milliseconds work) { long_work_ = work; }
+  std::uint64_t HeartbeatsSent() const { return sequence_; }
   /// Number of requests that this incarnation has run.
   int Runs() const { return runs_; }
 
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -213,6 +213,33 @@
   CheckKeyStays(vm, key);
 }
 
+// Guards against keys that stay without a holder for a further heartbeat interval after all VMs
+// have lost power: the first heartbeat of the next incarnation alone doesn't prove that the earlier
+// one has ended, but its port does.
+BOOST_AUTO_TEST_CASE(AFirstHeartbeatIsConfirmedAtThePort) {
+  const int key = AwaitSingleHolder(fleet_.Vms()[0]);
+  for (const Vm& vm : fleet_.Vms()) {
+    vm.process_->Kill();
+    vm.target_->Crash();
+  }
+  for (Vm& vm : fleet_.Vms()) {
+    fleet_.StartProcess(vm);
+  }
+  for (const Vm& vm : fleet_.Vms()) {
+    AwaitReady(vm);
+  }
+  for (const Vm& vm : fleet_.Vms()) {
+    vm.target_->Start();
+  }
+  const Vm& vm = fleet_.Vms()[0];
+  const BootTime end = BootClock::now() + kStartTimeout;
+  while (CountHolders(key) == 0 && BootClock::now() < end) {
+    RunFor(kProbeInterval);
+  }
+  BOOST_TEST(CountHolders(key) == 1);
+  BOOST_TEST(vm.target_->HeartbeatsSent() == 1U);
+}
+
 // Guards against one odd record that ends every process which reads it, again after each restart.
 BOOST_AUTO_TEST_CASE(RecordsOfAnotherWriterEndNoProcess) {
   constexpr std::size_t kDepth = 100'000;
