router: Begin another grace period with a further SIGTERM

Change: each SIGTERM is logged and starts the limit of the stop anew.

Evidence: AFurtherSigtermBeginsAnotherGracePeriod (real processes): no answer of the upstream with the program before, 200 now.

--- a/Services/sassafrasbay/router/router_node.cc
+++ b/Services/sassafrasbay/router/router_node.cc
@@ -78,7 +78,6 @@
                      " service=" + shared.environment_.service_ + ".");
 
   std::atomic<bool> drained = false;
-  bool leaving = false;
   std::string service = shared.environment_.service_;
   BootTime last_reload = BootClock::now();
   while (!drained) {
@@ -87,8 +86,9 @@
       last_reload = BootClock::now();
       Reload(reload, signal == SIGHUP, service, traffic);
     }
-    if ((signal == SIGTERM || signal == SIGINT) && !leaving) {
-      leaving = true;
+    // Plans of operators overlap, so that a process may be told twice. Each time the platform
+    // grants it a grace period.
+    if (signal == SIGTERM || signal == SIGINT) {
       LogInfo(kPart, "stop signal=" + std::to_string(signal) + ".");
       traffic.ShutDown(shared.environment_.termination_grace_ - kExitMargin,
                        [&drained] { drained = true; });
--- a/Services/sassafrasbay/router/traffic_shutdown.cc
+++ b/Services/sassafrasbay/router/traffic_shutdown.cc
@@ -26,24 +26,30 @@
 
 void TrafficThread::ShutDown(milliseconds limit, std::function<void()> done) {
   loop_.Post([this, limit, done = std::move(done)] {
-    leaving_ = true;
     const BootTime now = BootClock::now();
-    router_.SetShutdownDeadline(now + limit - kFinalAnswerTime);
-    gate_.SetShutdownDeadline(now + limit - kFinalAnswerTime);
+    SetShutdownLimit(now + limit);
+    if (std::exchange(leaving_, true)) {
+      return;
+    }
     // Callers that keep their connections learn from the next response to use other nodes.
     callers_->CloseAfterResponses();
     SendReports();
-    ShutDownWhenIdle(now + kCallerDrainDelay, now + limit, done);
+    ShutDownWhenIdle(now + kCallerDrainDelay, done);
   });
 }
 
+void TrafficThread::SetShutdownLimit(BootTime end) {
+  shutdown_end_ = end;
+  router_.SetShutdownDeadline(end - kFinalAnswerTime);
+  gate_.SetShutdownDeadline(end - kFinalAnswerTime);
+}
+
 bool TrafficThread::IsIdle() const {
   return router_.IsIdle() && gate_.IsIdle() && callers_->OpenExchanges() == 0 &&
          links_.PendingBulkBytes() == 0;
 }
 
-void TrafficThread::ShutDownWhenIdle(BootTime earliest, BootTime latest,
-                                     const std::function<void()>& done) {
+void TrafficThread::ShutDownWhenIdle(BootTime earliest, const std::function<void()>& done) {
   const BootTime now = BootClock::now();
   // Callers may continue to connect when few nodes of a data centre are ready. From here on new
   // connections and new requests at the gate are refused, so that the open ones can end.
@@ -55,7 +61,7 @@
     // Other nodes then stop sending, so that no request arrives while this process ends.
     SendReports();
   }
-  if (now > latest - kFinalAnswerTime && !gave_up_open_requests_) {
+  if (now > shutdown_end_ - kFinalAnswerTime && !gave_up_open_requests_) {
     gave_up_open_requests_ = true;
     router_.AnswerOpenRequests();
   }
@@ -63,7 +69,7 @@
     busy_at_ = now;
   }
   const bool idle = now - busy_at_ > kFlushTime;
-  if (now > latest || (now > earliest && idle)) {
+  if (now > shutdown_end_ || (now > earliest && idle)) {
     LogInfo(kPart, std::string("leaving idle=") + (idle ? "true" : "false") +
                        " open_exchanges=" + std::to_string(callers_->OpenExchanges()) +
                        " pending_bulk_bytes=" + std::to_string(links_.PendingBulkBytes()) + ".");
@@ -72,8 +78,7 @@
     done();
     return;
   }
-  loop_.StartTimer(kIdlePollInterval,
-                   [this, earliest, latest, done] { ShutDownWhenIdle(earliest, latest, done); });
+  loop_.StartTimer(kIdlePollInterval, [this, earliest, done] { ShutDownWhenIdle(earliest, done); });
 }
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -3,14 +3,11 @@
 #include <utility>
 #include <vector>
 
-#include "LibCore/logging.h"
 #include "LibOwnership/report_timing.h"
 
 namespace sassafrasbay {
 namespace {
 
-constexpr std::string_view kPart = "traffic";
-
 /// Interval between checks for reports that are due.
 constexpr milliseconds kReportCheckInterval = kMinReportInterval / 2;
 
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -29,7 +29,7 @@
   TrafficThreadCallbacks Callbacks();
 
   /// Reports not ready from now on, then runs `done` on this thread when all requests are answered,
-  /// or after `limit`. Thread-safe.
+  /// or after `limit`. A further call starts the limit anew. Thread-safe.
   void ShutDown(milliseconds limit, std::function<void()> done);
 
   /// Sets the service that callers on this VM belong to. Thread-safe.
@@ -58,7 +58,9 @@
   HttpResponse MakeReadinessResponse() const;
   /// Whether all requests have ended and their answers have been sent.
   bool IsIdle() const;
-  void ShutDownWhenIdle(BootTime earliest, BootTime latest, const std::function<void()>& done);
+  /// Sets the time at which the process ends, and the earlier one of the last answers.
+  void SetShutdownLimit(BootTime end);
+  void ShutDownWhenIdle(BootTime earliest, const std::function<void()>& done);
 
   RouterShared& shared_;
   ReactorLoop loop_;
@@ -78,6 +80,7 @@
   bool leaving_ = false;
   bool stopped_accepting_ = false;  ///< New requests are refused; the process ends soon.
   bool gave_up_open_requests_ = false;
+  BootTime shutdown_end_{};
   BootTime busy_at_{};  ///< When requests were last open, once the process is shutting down.
 };
 
--- a/Tests/Soak/test_planned_stop.cc
+++ b/Tests/Soak/test_planned_stop.cc
@@ -80,10 +80,11 @@
   void StopAndAwaitEnd() {
     terminated_ = BootClock::now();
     stopping_.process_->Terminate();
-    while (stopping_.process_->IsRunning() && BootClock::now() < terminated_ + kGracePeriod) {
+    while (stopping_.process_->IsRunning() && BootClock::now() < terminated_ + 2 * kGracePeriod) {
       RunFor(kProbeInterval);
     }
-    BOOST_TEST(!stopping_.process_->IsRunning());
+    const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() - terminated_);
+    BOOST_TEST(took.count() < kGracePeriod.count());
     stopping_.process_->Kill();
     BOOST_TEST(stopping_.process_->Wait(milliseconds(0)).value_or(-1) == 0);
     RunFor(milliseconds(500));
@@ -152,6 +153,20 @@
   BOOST_TEST(ledger_.Violations().empty());
 }
 
+// Guards against a request that is cut off although a second SIGTERM, of an overlapping plan, has
+// begun another grace period (LOST on a mix of kcrw-waxrota-grown: SIGTERM at 29.3 s and 31.1 s,
+// the end of the process at 34.8 s with a request at work that was sent at 30.3 s).
+BOOST_AUTO_TEST_CASE(AFurtherSigtermBeginsAnotherGracePeriod) {
+  SetLongWork(milliseconds(6500));
+  Send(RequestKind::kLong, kLongDeadline);
+  RunFor(milliseconds(100));
+  stopping_.process_->Terminate();
+  RunFor(milliseconds(1800));
+  StopAndAwaitEnd();
+  BOOST_TEST(exchanges_[0].status_ == kOk);
+  CheckNothingLost();
+}
+
 // Guards against slow requests that are taken shortly before the node refuses all of them, although
 // their known duration exceeds what is left of the grace period.
 BOOST_AUTO_TEST_CASE(RequestsThatCantEndInTimeAreRefusedAtOnce) {
