--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -367,6 +367,8 @@
   update_posted_ = true;
   loop_.Post([this] {
     update_posted_ = false;
+    // The configuration and the tables may have become known since the heartbeat.
+    ProbeIncarnation();
     Decide();
     AnswerPendingHeartbeats();
     Publish();
