--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -31,7 +31,7 @@
 
 // Another writer's heartbeat may look like that of a later incarnation, and a delayed one may be of
 // an earlier one. An incarnation that runs sends further heartbeats.
-HeartbeatEffect Classify(UpstreamRegistry& registry, const UpstreamHeartbeat& heartbeat,
+HeartbeatEffect Classify(const UpstreamRegistry& registry, const UpstreamHeartbeat& heartbeat,
                          BootTime now) {
   if (!registry.newest_) {
     return HeartbeatEffect::kNewIncarnation;
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -52,8 +52,8 @@
 /// Returns false unless it is the current one and that was unknown.
 bool ConfirmIncarnation(UpstreamRegistry& registry, const Holder& holder);
 
-/// Unix time in milliseconds before which all incarnations beside this node have certainly started
-/// that have ended; 0 when none has.
+/// Unix time in milliseconds at which the current incarnation started if it is confirmed, otherwise
+/// 0. Incarnations that started before it have ended.
 std::int64_t ConfirmedBornMs(const UpstreamRegistry& registry);
 
 /// Records the leave of an upstream. Returns false when it isn't the current one.
--- a/Services/sassafrasbay/router/control_leaving.cc
+++ b/Services/sassafrasbay/router/control_leaving.cc
@@ -1,6 +1,6 @@
-#include <chrono>
 #include <utility>
 
+#include "LibCore/clock.h"
 #include "LibCore/logging.h"
 #include "platform/heartbeat_codec.h"
 #include "router/control_thread.h"
@@ -16,12 +16,6 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-std::int64_t UnixMilliseconds() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 // Requests stop at once, but the leave is acknowledged only when the store has it: the upstream
@@ -29,8 +23,8 @@
 void ControlThread::OnLeave(const std::shared_ptr<HttpExchange>& exchange,
                             std::string_view instance) {
   // Without a start time, the leave is that of the incarnation that runs now.
-  const std::int64_t born_ms =
-      platform::DecodeLeaveBorn(exchange->Request().body_).value_or(UnixMilliseconds());
+  const std::int64_t born_ms = platform::DecodeLeaveBorn(exchange->Request().body_)
+                                   .value_or(WallNow().time_since_epoch().count());
   const BootTime now = BootClock::now();
   const bool current = RecordLeave(registry_, {std::string(instance), born_ms}, now);
   LogInfo(kPart, "upstream=" + std::string(instance) +
@@ -39,7 +33,7 @@
   ScheduleUpdate();
   const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
   if (!leaving || leaving->instance_ != instance) {
-    // A later incarnation is known, which nothing is sent to in place of this one.
+    // The leave of an earlier incarnation, to which nothing is sent any more.
     exchange->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
     return;
   }
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -258,8 +258,9 @@
     const std::string id = "request " + status;
     upstream_.requests_ = 0;
     upstream_.answer_ = [&](int number, const std::string& request_id) {
-      const std::string failure =
-          "HTTP/1.1 " + status + "\r\nId: " + request_id + "\r\nContent-Length: 0\r\n\r\n";
+      std::string failure = "HTTP/1.1 ";
+      failure.append(status).append("\r\nId: ").append(request_id);
+      failure += "\r\nContent-Length: 0\r\n\r\n";
       const bool sends_copy = number == 2 && upstream_.connections_ == connections + 1;
       return number == 1 ? failure : (sends_copy ? failure : "") + Ok(request_id, "has run");
     };
--- a/Tests/Soak/test_planned_stop.cc
+++ b/Tests/Soak/test_planned_stop.cc
@@ -206,7 +206,7 @@
     const HttpRequest request = Request(id, RequestKind::kBooking, kShortDeadline);
     std::string text = "POST " + request.path_ + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request.headers_) {
-      text += name + ": " + value + "\r\n";
+      text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n\r\n";
     BOOST_REQUIRE(connection->Send(text + request.body_.substr(0, 3)));
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -157,6 +157,16 @@
     return vm.target_->LeavingAcknowledged() != BootTime{};
   }
 
+  /// Kills all processes shortly after an acknowledgement, and checks that the target which has
+  /// left gets no requests although the heartbeat arrives after it.
+  void CheckNoRequestsAfterKill(const HttpCall& late_heartbeat) {
+    RunFor(kKillDelay);
+    KillAndRestartAll();
+    BOOST_TEST(Get(late_heartbeat).response_.has_value());
+    BOOST_TEST(CallBookingService(kCallDuration) > 0);
+    BOOST_TEST(ledger_.Violations().empty());
+  }
+
   int calls_ = 0;
 };
 
@@ -278,11 +288,7 @@
   const HttpCall late_heartbeat = vm.target_->HeartbeatCall();
   vm.target_->LeaveFirst();
   BOOST_REQUIRE(AwaitLeavingAcknowledged(vm, kMaxAcknowledgementDelay));
-  RunFor(kKillDelay);
-  KillAndRestartAll();
-  BOOST_TEST(Get(late_heartbeat).response_.has_value());
-  BOOST_TEST(CallBookingService(kCallDuration) > 0);
-  BOOST_TEST(ledger_.Violations().empty());
+  CheckNoRequestsAfterKill(late_heartbeat);
 }
 
 // Guards against the same while the store is away: a leave that can't be recorded isn't
@@ -299,11 +305,7 @@
   BOOST_TEST(vm.target_->Runs() == runs);
   fleet_.Store().fault_ = stand_ins::StoreFault::kNone;
   BOOST_REQUIRE(AwaitLeavingAcknowledged(vm, kMaxAcknowledgementDelay));
-  RunFor(kKillDelay);
-  KillAndRestartAll();
-  BOOST_TEST(Get(late_heartbeat).response_.has_value());
-  BOOST_TEST(CallBookingService(kCallDuration) > 0);
-  BOOST_TEST(ledger_.Violations().empty());
+  CheckNoRequestsAfterKill(late_heartbeat);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
