owner: Take no accepted connection for a sign of life after a crash

Cause: after a lost connection, the check for a crash counted the upstream as alive once its port had accepted a connection. The crash was then not counted, and an idempotent request was sent to the next upstream.

Change: only an answer to the health check shows that the upstream is alive. A check without an answer is repeated, up to three times; a refused connection ends it at once. Each failed check is logged with its reason.

--- a/Services/sassafrasbay/upstream_link.cc
+++ b/Services/sassafrasbay/upstream_link.cc
@@ -120,14 +120,39 @@
 }
 
 void UpstreamLink::CheckAlive(std::function<void(bool alive)> callback) {
+  CheckAliveAgain(std::move(callback), 0);
+}
+
+// A process that ends may close its connections before its port, so a connection that the port
+// accepts is no sign of life.
+void UpstreamLink::CheckAliveAgain(std::function<void(bool alive)> callback, int failed_checks) {
+  HttpCall call = HealthCheck();
+  call.fresh_connection_ = true;
+  probe_client_->Start(std::move(call), [this, callback = std::move(callback),
+                                         failed_checks](const HttpResult& result) mutable {
+    if (result.response_.has_value()) {
+      callback(true);
+      return;
+    }
+    LogInfo(kPart, "Health check " + std::to_string(failed_checks + 1) +
+                       " after a lost connection failed: " + ToString(result.response_.error()) +
+                       ".");
+    if (!result.maybe_sent_ || failed_checks + 1 >= kFailedProbesThreshold) {
+      callback(false);
+      return;
+    }
+    loop_.StartTimer(kProbeInterval, [this, callback = std::move(callback), failed_checks] {
+      CheckAliveAgain(callback, failed_checks + 1);
+    });
+  });
+}
+
+HttpCall UpstreamLink::HealthCheck() const {
   HttpCall call;
   call.base_url_ = BaseUrl();
   call.request_ = {"GET", "/-/health", {}, {}};
   call.timeout_ = kProbeTimeout;
-  call.fresh_connection_ = true;
-  probe_client_->Start(std::move(call), [callback = std::move(callback)](const HttpResult& result) {
-    callback(result.maybe_sent_ || result.response_.has_value());
-  });
+  return call;
 }
 
 void UpstreamLink::Probe() {
@@ -135,11 +160,7 @@
     return;
   }
   probe_running_ = true;
-  HttpCall call;
-  call.base_url_ = BaseUrl();
-  call.request_ = {"GET", "/-/health", {}, {}};
-  call.timeout_ = kProbeTimeout;
-  probe_client_->Start(std::move(call),
+  probe_client_->Start(HealthCheck(),
                        [this, address = announcement_->address_](const HttpResult& result) {
                          probe_running_ = false;
                          if (announcement_->address_ == address) {
--- a/Services/sassafrasbay/upstream_link.h
+++ b/Services/sassafrasbay/upstream_link.h
@@ -56,11 +56,14 @@
   /// Ends a call without calling its callback, and asks the upstream to cancel the request.
   void Cancel(HttpClient::CallId call, std::string_view request_id);
 
-  /// Checks, without waiting for the next probe, whether the upstream still accepts connections.
-  /// `callback` gets false only when nothing was sent, as when its port refuses the connection.
+  /// Checks, without waiting for the next probe, whether the upstream answers its health check.
+  /// `callback` gets false when its port refuses the connection, or after several checks without an
+  /// answer, at most 0.7 s later.
   void CheckAlive(std::function<void(bool alive)> callback);
 
  private:
+  void CheckAliveAgain(std::function<void(bool alive)> callback, int failed_checks);
+  HttpCall HealthCheck() const;
   void Probe();
   void OnProbe(const HttpResult& result);
   void MarkLost();
--- a/Tests/Integration/test_crashing_request.cc
+++ b/Tests/Integration/test_crashing_request.cc
@@ -38,7 +38,7 @@
 
 // Sends a request that crashes its upstream through one node after another, as a retrying caller
 // would, and checks that the fleet refuses it after the allowed number of crashes.
-void CheckCrashes(const std::string& method) {
+void CheckCrashes(const std::string& method, const std::string& directive) {
   const auto fleet = MakeBenchFleet({.data_centres_ = 3, .nodes_per_data_centre_ = 2});
   BOOST_REQUIRE(fleet != nullptr);
   AttemptHistory bookings(*fleet);
@@ -46,7 +46,7 @@
   CallerRequest request{.method_ = method,
                         .key_ = key,
                         .body_ = "faulty",
-                        .stand_in_header_ = "crash",
+                        .stand_in_header_ = directive,
                         .path_suffix_ = "crashing"};
   const auto send = [&](std::size_t node) {
     // The fingerprint of a request doesn't depend on its id, so a new id must not reset the count.
@@ -82,9 +82,15 @@
 }  // namespace
 
 // Guards against a request that crashes one upstream after another as its caller retries it.
-BOOST_AUTO_TEST_CASE(IdempotentRequestIsRefusedAfterTwoCrashes) { CheckCrashes("PUT"); }
+BOOST_AUTO_TEST_CASE(IdempotentRequestIsRefusedAfterTwoCrashes) { CheckCrashes("PUT", "crash"); }
 
-BOOST_AUTO_TEST_CASE(BindingRequestIsRefusedAfterTwoCrashes) { CheckCrashes("POST"); }
+BOOST_AUTO_TEST_CASE(BindingRequestIsRefusedAfterTwoCrashes) { CheckCrashes("POST", "crash"); }
+
+// Guards against a crash that isn't counted because the port still accepts connections when the
+// connections of the process have closed.
+BOOST_AUTO_TEST_CASE(RequestIsRefusedAfterTwoCrashesThatCloseThePortLast) {
+  CheckCrashes("POST", "crash-slowly");
+}
 
 // Guards against a second run of a binding request that crashed its upstream. Every repeat of its
 // id must get the outcome unknown, through every node.
--- a/Tests/StandIns/upstream_stand_in.cc
+++ b/Tests/StandIns/upstream_stand_in.cc
@@ -23,6 +23,8 @@
 using nlohmann::json;
 
 constexpr int kCrashExitCode = 3;
+/// Time for which the port still accepts connections in a slow exit.
+constexpr milliseconds kSlowExitDuration{60};
 constexpr int kConnections = 130;
 constexpr milliseconds kCancelCheckInterval{10};
 // Factor on the processing time right after the start. It falls linearly to 1 over the cold-start
@@ -32,6 +34,7 @@
 /// Behaviour that a caller requests with the header Stand-In, a comma-separated list of directives.
 struct RequestedBehaviour {
   bool crash_ = false;
+  bool crash_slowly_ = false;  ///< Closes the connections, and exits after kSlowExitDuration.
   bool drop_ = false;
   bool truncate_ = false;
   bool refuse_ = false;
@@ -43,6 +46,7 @@
   while (!text.empty()) {
     const std::string_view directive = text.substr(0, text.find(','));
     behaviour.crash_ |= directive == "crash";
+    behaviour.crash_slowly_ |= directive == "crash-slowly";
     behaviour.drop_ |= directive == "drop";
     behaviour.truncate_ |= directive == "truncate";
     behaviour.refuse_ |= directive == "refuse";
@@ -115,6 +119,12 @@
   if (behaviour.crash_) {
     _exit(kCrashExitCode);
   }
+  if (behaviour.crash_slowly_ && !state.exiting_.exchange(true)) {
+    std::thread([] {
+      std::this_thread::sleep_for(kSlowExitDuration);
+      _exit(kCrashExitCode);
+    }).detach();
+  }
   BlockingAnswer answer = JsonAnswer(200, AnswerBody(state, request, admission.writes_));
   if (cancelled) {
     answer.response_.status_ = 500;
@@ -127,7 +137,7 @@
   return answer;
 }
 
-BlockingAnswer HandleTraffic(UpstreamState& state, const HttpRequest& request) {
+BlockingAnswer Answer(UpstreamState& state, const HttpRequest& request) {
   const std::string_view path = WithoutQuery(request.path_);
   if (path == "/-/health") {
     const std::lock_guard lock(state.mutex_);
@@ -144,6 +154,14 @@
   return RunRequest(state, request);
 }
 
+BlockingAnswer HandleTraffic(UpstreamState& state, const HttpRequest& request) {
+  BlockingAnswer answer = Answer(state, request);
+  if (state.exiting_) {
+    answer.ending_ = AnswerEnding::kDrop;
+  }
+  return answer;
+}
+
 BlockingAnswer HandleAdmin(UpstreamState& state, const HttpRequest& request) {
   const std::lock_guard lock(state.mutex_);
   const std::string_view path = WithoutQuery(request.path_);
--- a/Tests/StandIns/upstream_state.h
+++ b/Tests/StandIns/upstream_state.h
@@ -40,6 +40,7 @@
   int record_descriptor_ = -1;
   std::int64_t started_ms_ = 0;
   std::atomic<bool> draining_ = false;  ///< Announced to the node.
+  std::atomic<bool> exiting_ = false;   ///< Connections close without a response.
 
   std::mutex mutex_;
   std::map<std::uint32_t, Grant> grants_;
