LibControl: Recover a split key's outcomes from the copies of its shard

A session that was lost before it read of the split never copied a table of the override. Its ids are in the copies of the shard's table, which nobody asked for.

Change: the recovery of an override goes on with the former holders of its shard. Ids that ran under the override itself are still asked for at all grantors of its own holders, so the table counts as complete only if these have answered too.

Related, open: a key that is merged into its shard in the same moment. The shard's new token makes its table incomplete then, so that its ids are unknown, never run twice.

--- a/Libraries/LibControl/control_state.cc
+++ b/Libraries/LibControl/control_state.cc
@@ -83,6 +83,19 @@
   return nullptr;
 }
 
+std::optional<std::uint32_t> ShardOfOverride(const ControlState& state, const UnitId& unit) {
+  const auto service = state.services_.find(unit.service_);
+  if (unit.unit_ < kFirstOverrideUnit || service == state.services_.end()) {
+    return std::nullopt;
+  }
+  for (const auto& [key_hash, item] : service->second.overrides_) {
+    if (item.unit_ == unit.unit_) {
+      return static_cast<std::uint32_t>(key_hash % service->second.shards_.size());
+    }
+  }
+  return std::nullopt;
+}
+
 UnitId UnitOfKey(const ServiceState& service, std::string_view name, std::uint64_t key_hash) {
   UnitId id{std::string(name), 0};
   const auto entry = service.overrides_.find(key_hash);
--- a/Libraries/LibControl/control_state.h
+++ b/Libraries/LibControl/control_state.h
@@ -133,6 +133,9 @@
 const ServiceSpec* FindService(const RoutingConfiguration& configuration, std::string_view name);
 const Unit* FindUnit(const ControlState& state, const UnitId& unit);
 
+/// Returns the shard that contains the key of an override; no value when the unit is a shard.
+std::optional<std::uint32_t> ShardOfOverride(const ControlState& state, const UnitId& unit);
+
 /// Returns the unit of a key: the key's override if there is one, otherwise its shard.
 UnitId UnitOfKey(const ServiceState& service, std::string_view name, std::uint64_t key_hash);
 
--- a/Services/sassafrasbay/owned_units.cc
+++ b/Services/sassafrasbay/owned_units.cc
@@ -10,20 +10,6 @@
 
 constexpr std::string_view kPart = "units";
 
-/// Shard that contains the key of an override; no value when the unit is a shard.
-std::optional<std::uint32_t> ShardOfOverride(const ControlState& state, const UnitId& id) {
-  const auto service = state.services_.find(id.service_);
-  if (id.unit_ < kFirstOverrideUnit || service == state.services_.end()) {
-    return std::nullopt;
-  }
-  for (const auto& [key_hash, item] : service->second.overrides_) {
-    if (item.unit_ == id.unit_) {
-      return static_cast<std::uint32_t>(key_hash % service->second.shards_.size());
-    }
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 std::string Describe(const UnitId& unit, Offset token) {
--- a/Services/sassafrasbay/request_copies.cc
+++ b/Services/sassafrasbay/request_copies.cc
@@ -36,6 +36,23 @@
   return IsAnswered(entry) || (entry.phase_ == EntryPhase::kDone && !IsAnswered(held));
 }
 
+/// A session that held a unit, and the token under which it did.
+struct UnitHolder {
+  UnitId unit_;
+  FormerHolder holder_;
+};
+
+std::vector<UnitHolder> FormerHolders(const UnitId& id, const Unit& unit) {
+  std::vector<UnitHolder> holders;
+  if (!unit.inherited_from_.empty()) {
+    holders.push_back({id, {unit.inherited_from_, unit.inherited_token_}});
+    for (const FormerHolder& earlier : unit.earlier_holders_) {
+      holders.push_back({id, earlier});
+    }
+  }
+  return holders;
+}
+
 }  // namespace
 
 RequestCopies::RequestCopies(TrafficPeers& peers, SharedState& shared)
@@ -83,9 +100,10 @@
 
 struct RequestCopies::Recovery {
   UnitId unit_;
-  std::vector<FormerHolder> holders_;  ///< Earlier holders of the unit, latest first.
-  std::size_t next_ = 0;               ///< Index of the holder whose grantors are asked next.
-  std::size_t outstanding_ = 0;        ///< Grantors of the present holder that have not answered.
+  /// Earlier holders of the unit, latest first; then those of the shard that it was split from.
+  std::vector<UnitHolder> holders_;
+  std::size_t next_ = 0;         ///< Index of the holder whose grantors are asked next.
+  std::size_t outstanding_ = 0;  ///< Grantors of the present holder that have not answered.
   Offset grantors_changed_at_ = 0;
   /// All grantors of the present holder have its complete table of the unit.
   bool tables_complete_ = true;
@@ -98,7 +116,8 @@
     const bool current = reply.grantors_changed_at_ >= grantors_changed_at_;
     tables_complete_ = tables_complete_ && reply.complete_ && current;
     copies_current_ = copies_current_ && current;
-    for (const TableEntry& entry : reply.entries_) {
+    for (TableEntry entry : reply.entries_) {
+      entry.unit_ = unit_;
       const auto [found, inserted] = entries_.emplace(entry.id_, entry);
       if (!inserted && Supersedes(entry, found->second)) {
         found->second = entry;
@@ -125,9 +144,15 @@
                             std::function<void(bool, std::vector<TableEntry>)> done) {
   auto recovery = std::make_shared<Recovery>();
   recovery->unit_ = id;
-  recovery->holders_ = {{unit.inherited_from_, unit.inherited_token_}};
-  recovery->holders_.insert(recovery->holders_.end(), unit.earlier_holders_.begin(),
-                            unit.earlier_holders_.end());
+  recovery->holders_ = FormerHolders(id, unit);
+  // A holder that was lost before it read of the split has no table of the override. The ids from
+  // before the split are in the copies of its shard's table.
+  if (const auto shard = ShardOfOverride(*snapshot_->state_, id)) {
+    const UnitId shard_id{id.service_, *shard};
+    const Unit* shard_unit = FindUnit(*snapshot_->state_, shard_id);
+    const std::vector<UnitHolder> holders = FormerHolders(shard_id, *shard_unit);
+    recovery->holders_.insert(recovery->holders_.end(), holders.begin(), holders.end());
+  }
   recovery->done_ = std::move(done);
   RecoverNext(recovery);
 }
@@ -136,7 +161,7 @@
 // was incomplete copied the entries of the requests that it ran itself. In both cases the older
 // entries are held by the grantors of the holder before it.
 void RequestCopies::RecoverNext(const std::shared_ptr<Recovery>& recovery) {
-  const FormerHolder& holder = recovery->holders_[recovery->next_++];
+  const auto& [unit, holder] = recovery->holders_[recovery->next_++];
   const auto found = snapshot_->state_->ended_.find(holder.session_);
   if (found == snapshot_->state_->ended_.end() || found->second.grantors_.empty()) {
     recovery->AddMissingReply();
@@ -146,7 +171,7 @@
   recovery->tables_complete_ = true;
   recovery->grantors_changed_at_ = found->second.grantors_changed_at_;
   recovery->outstanding_ = found->second.grantors_.size();
-  const TableRequest request{0, holder.session_, {{recovery->unit_, holder.token_}}};
+  const TableRequest request{0, holder.session_, {{unit, holder.token_}}};
   for (const SessionId& grantor : found->second.grantors_) {
     const auto receive = [this, recovery](const Result<TrafficMessage>& reply) {
       const auto* table = reply ? std::get_if<TableReply>(&reply.value()) : nullptr;
--- a/Tests/Integration/test_at_most_once_losses.cc
+++ b/Tests/Integration/test_at_most_once_losses.cc
@@ -5,6 +5,9 @@
 #include <future>
 #include <thread>
 
+#include "LibControl/record_codec.h"
+#include "LibCore/hash.h"
+#include "LibRouting/classify.h"
 #include "harness/attempt_history.h"
 
 using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
@@ -101,6 +104,33 @@
   fixture.Report(fixture.bookings_.Check());
 }
 
+// Guards against losing the outcomes of a key that is split off from its shard when the owner is
+// lost already but its session hasn't ended: it never makes a table for the key.
+BOOST_AUTO_TEST_CASE(KeySplitOffAfterTheOwnerWasKilled) {
+  LossFixture fixture;
+  const std::string key = KeyOwnedBy(*fixture.fleet_, 0);
+  const std::string explain = "/-/explain?service=bench&key=" + key;
+  for (int i = 0; i < 10; ++i) {
+    const Attempt attempt =
+        fixture.bookings_.Send(1, {.key_ = key, .id_ = NewUuid(), .body_ = "lot"});
+    BOOST_TEST(IsAcknowledged(attempt), Describe(attempt));
+  }
+  const std::uint16_t port = fixture.fleet_->Node(1).callers_port_;
+  const auto token = GetJson(port, explain).at("token").get<Offset>();
+  fixture.Kill(0, true);
+  const Record split{RandomId(), kRulesVersion, KeySplit{"bench", HashKey("bench", key), token}};
+  BOOST_REQUIRE(CallStatus(fixture.fleet_->LogPort(), "POST", "/append", EncodeRecord(split)) ==
+                200);
+  BOOST_REQUIRE(WaitForSessions(*fixture.fleet_, 1, fixture.fleet_->Size() - 1));
+  BOOST_TEST(GetJson(port, explain).at("key_override").get<bool>());
+  fixture.Report(fixture.bookings_.CheckStillAcknowledged({2, 1}));
+  // A new id is answered only if the key's table is complete.
+  const CallerRequest booking{.key_ = key, .id_ = NewUuid(), .body_ = "lot"};
+  const Attempt booked = fixture.bookings_.Send(1, booking);
+  BOOST_TEST(IsAcknowledged(booked), Describe(booked));
+  fixture.Report(fixture.bookings_.Check());
+}
+
 // Invariant 2: an acknowledged booking must survive the loss of the owner's data centre, also when
 // other bookings are running at that moment.
 BOOST_AUTO_TEST_CASE(DataCentreLost) {
