Tests: Keep test programs that run at once from choosing the same ports

The soak's proxies have fixed ports from 20,000 on, in the range from which FreePort chose, and two programs could choose the same port until one of them listened.

FreePort now chooses below 20,000 and reserves the port for its process by an abstract socket name. ProgramsThatRunAtTheSameTimeGetDifferentPorts passes; with the old FreePort it must fail, as the other program continues with the same random numbers (not run).

--- a/Tests/Integration/harness/support.cc
+++ b/Tests/Integration/harness/support.cc
@@ -2,12 +2,13 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
+#include <cstddef>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
-#include <set>
 #include <thread>
 
 #include "StandIns/blocking_client.h"
@@ -16,7 +17,8 @@
 namespace {
 
 constexpr std::uint16_t kMinPort = 10000;
-constexpr std::uint16_t kMaxPort = 32000;
+constexpr std::uint16_t kMaxPort =
+    19999;  // The proxies of the soak's fleets have those from 20000.
 constexpr milliseconds kPollInterval{20};
 
 bool CanListen(std::uint16_t port) {
@@ -31,16 +33,31 @@
   return free;
 }
 
+// Keeps other test programs from choosing the port before a stand-in listens on it or while that is
+// restarted. The name is an abstract one, which ends with this process.
+bool Reserve(std::uint16_t port) {
+  const std::string name = "sassafrasbay-test-port-" + std::to_string(port);
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  name.copy(address.sun_path + 1, sizeof(address.sun_path) - 1);
+  const int descriptor = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const bool reserved =
+      bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+           static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size())) == 0;
+  if (!reserved) {
+    close(descriptor);
+  }
+  return reserved;
+}
+
 }  // namespace
 
 std::uint16_t FreePort() {
-  static std::set<std::uint16_t> used;
   static std::mt19937 random(std::random_device{}());
   std::uniform_int_distribution<std::uint16_t> ports(kMinPort, kMaxPort);
   while (true) {
     const std::uint16_t port = ports(random);
-    if (!used.contains(port) && CanListen(port)) {
-      used.insert(port);
+    if (Reserve(port) && CanListen(port)) {
       return port;
     }
   }
--- a/Tests/Integration/harness/support.h
+++ b/Tests/Integration/harness/support.h
@@ -14,7 +14,8 @@
 namespace sassafrasbay::harness {
 
 /// Returns a TCP port of 127.0.0.1 that no socket is bound to, below the range of ephemeral ports.
-/// Never returns the same port twice in one process.
+/// Never returns the same port twice in one process, nor one that a running process of the same
+/// user space got from it.
 std::uint16_t FreePort();
 
 /// Returns "http://127.0.0.1:PORT".
--- a/Tests/Integration/test_fleet.cc
+++ b/Tests/Integration/test_fleet.cc
@@ -1,4 +1,9 @@
 #define BOOST_TEST_MODULE Fleet
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
@@ -97,3 +102,33 @@
   BOOST_TEST((process.Wait(std::chrono::seconds(10)) == 128 + SIGTERM));
   BOOST_TEST(!process.IsRunning());
 }
+
+// Guards against test programs that run at the same time and choose the same port, which each of
+// them listens on only later.
+BOOST_AUTO_TEST_CASE(ProgramsThatRunAtTheSameTimeGetDifferentPorts) {
+  FreePort();  // The other program then continues with the same random numbers.
+  std::array<int, 2> chosen{};
+  std::array<int, 2> end{};
+  BOOST_REQUIRE(pipe(chosen.data()) == 0);
+  BOOST_REQUIRE(pipe(end.data()) == 0);
+  std::array<std::uint16_t, 20> other_ports{};
+  const pid_t other = fork();
+  if (other == 0) {
+    std::ranges::generate(other_ports, FreePort);
+    (void)!write(chosen[1], other_ports.data(), sizeof(other_ports));
+    close(end[1]);
+    (void)!read(end[0], other_ports.data(), 1);  // Returns when the parent closes its end.
+    _exit(0);
+  }
+  BOOST_REQUIRE(other > 0);
+  BOOST_TEST(read(chosen[0], other_ports.data(), sizeof(other_ports)) ==
+             static_cast<ssize_t>(sizeof(other_ports)));
+  for (std::size_t i = 0; i < other_ports.size(); ++i) {
+    const std::uint16_t port = FreePort();
+    BOOST_TEST((std::ranges::find(other_ports, port) == other_ports.end()), "port " << port);
+  }
+  for (const int descriptor : {chosen[0], chosen[1], end[0], end[1]}) {
+    close(descriptor);
+  }
+  waitpid(other, nullptr, 0);
+}
