Tests: Publish the first configuration once all sessions have joined

The test now waits until the three sessions have joined; all checks stay. Without the wait the outcome rested on which session joins first.

Open: while the planner's node can't write to the log, nobody balances.

--- a/Tests/Integration/test_configuration_retention.cc
+++ b/Tests/Integration/test_configuration_retention.cc
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "configuration_support.h"
+#include "harness/attempt_history.h"
 
 using namespace sassafrasbay;  // NOLINT(google-build-using-namespace)
 using namespace harness;       // NOLINT(google-build-using-namespace)
@@ -33,6 +34,15 @@
   BOOST_REQUIRE(fleet.StartUpstream(index));
 }
 
+// Starts all nodes but the new one. The first publication spreads the units over the sessions that
+// have joined by then; the planner that would move them may be the node that is cut off.
+void StartSessions(Fleet& fleet) {
+  for (std::size_t index = 0; index < kNewNode; ++index) {
+    Start(fleet, index);
+  }
+  BOOST_REQUIRE(WaitForSessions(fleet, 0, kNewNode));
+}
+
 void PublishUntil(Fleet& fleet, VersionMonitor& monitor, int& version, int target_version) {
   while (version < target_version) {
     ++version;
@@ -172,9 +182,7 @@
   const auto fleet = BuildFleet();
   VersionMonitor monitor;
   int version = 0;
-  for (std::size_t index = 0; index < kNewNode; ++index) {
-    Start(*fleet, index);
-  }
+  StartSessions(*fleet);
   PublishUntil(*fleet, monitor, version, 20);
   BOOST_REQUIRE(WaitUntil([&] { return !CheckpointsFrom(*fleet, 0).empty(); }, kTimeout));
   PublishUntil(*fleet, monitor, version, 25);
@@ -205,9 +213,7 @@
   const auto fleet = BuildFleet();
   VersionMonitor monitor;
   int version = 0;
-  for (std::size_t index = 0; index < kNewNode; ++index) {
-    Start(*fleet, index);
-  }
+  StartSessions(*fleet);
   PublishUntil(*fleet, monitor, version, 20);
   BOOST_REQUIRE(WaitUntil([&] { return !CheckpointsFrom(*fleet, 0).empty(); }, kTimeout));
   PublishUntil(*fleet, monitor, version, 25);
