router: Answer requests that are open at the end of a further grace period

The node gave its open requests up once, 0.2 s before the end of the first grace period. With a further SIGTERM within these 0.2 s, requests of the next grace period would have ended with a closed connection at its end. By reading; no test, as the 0.2 s can't be met from outside.

Open requests are now given up in each round from then on, which does nothing without open requests.

--- a/Services/sassafrasbay/router/traffic_shutdown.cc
+++ b/Services/sassafrasbay/router/traffic_shutdown.cc
@@ -61,8 +61,7 @@
     // Other nodes then stop sending, so that no request arrives while this process ends.
     SendReports();
   }
-  if (now > shutdown_end_ - kFinalAnswerTime && !gave_up_open_requests_) {
-    gave_up_open_requests_ = true;
+  if (now > shutdown_end_ - kFinalAnswerTime) {
     router_.AnswerOpenRequests();
   }
   if (!IsIdle()) {
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -79,7 +79,6 @@
   std::map<std::pair<ConnectionId, std::uint64_t>, UpstreamGate::RequestNumber> forwarded_requests_;
   bool leaving_ = false;
   bool stopped_accepting_ = false;  ///< New requests are refused; the process ends soon.
-  bool gave_up_open_requests_ = false;
   BootTime shutdown_end_{};
   BootTime busy_at_{};  ///< When requests were last open, once the process is shutting down.
 };
