--- a/Libraries/LibCore/http_message.h
+++ b/Libraries/LibCore/http_message.h
@@ -22,6 +22,9 @@
   std::string body_;
 };
 
+/// Returns a response whose body is JSON text.
+HttpResponse JsonResponse(int status, std::string body);
+
 /// Value of the first header with that case-insensitive name; empty when absent.
 std::string_view FindHeader(const HeaderList& headers, std::string_view name);
 
--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -56,6 +56,16 @@
          Covers(leaving, registry.newest_->instance_, registry.newest_->born_ms_);
 }
 
+// Keeps what is known of the latest incarnation; of one incarnation, a leave replaces a draining.
+void RecordEarlyLeave(UpstreamRegistry& registry, const EarlyLeave& leave) {
+  const std::optional<EarlyLeave>& known = registry.early_leave_;
+  const std::int64_t born_ms = leave.leaving_.last_born_ms_;
+  if (!known || known->leaving_.last_born_ms_ < born_ms ||
+      (leave.has_left_ && known->leaving_.last_born_ms_ == born_ms)) {
+    registry.early_leave_ = leave;
+  }
+}
+
 }  // namespace
 
 HeartbeatEffect RecordHeartbeat(UpstreamRegistry& registry, UpstreamHeartbeat heartbeat,
@@ -138,11 +148,7 @@
 
 bool RecordLeave(UpstreamRegistry& registry, const LeavingUpstream& leaving, BootTime now) {
   if (!IsNewest(registry, leaving)) {
-    // A late leave of an earlier incarnation doesn't replace what is known of a later one.
-    if (!registry.early_leave_ ||
-        registry.early_leave_->leaving_.last_born_ms_ <= leaving.last_born_ms_) {
-      registry.early_leave_ = EarlyLeave{leaving, now, true};
-    }
+    RecordEarlyLeave(registry, {leaving, now, true});
     return false;
   }
   registry.local_upstream_.has_left_ = true;
@@ -154,10 +160,7 @@
 
 bool RecordDraining(UpstreamRegistry& registry, const LeavingUpstream& leaving, BootTime since) {
   if (!IsNewest(registry, leaving)) {
-    if (!registry.early_leave_ ||
-        registry.early_leave_->leaving_.last_born_ms_ < leaving.last_born_ms_) {
-      registry.early_leave_ = EarlyLeave{leaving, since, false};
-    }
+    RecordEarlyLeave(registry, {leaving, since, false});
     return false;
   }
   if (registry.draining_since_) {
--- a/Services/sassafrasbay/operator_api.cc
+++ b/Services/sassafrasbay/operator_api.cc
@@ -14,12 +14,12 @@
 
 using nlohmann::json;
 
-HttpResponse JsonResponse(int status, const json& body) {
-  return {status, {{"Content-Type", "application/json"}}, body.dump(2) + "\n"};
+HttpResponse IndentedResponse(int status, const json& body) {
+  return JsonResponse(status, body.dump(2) + "\n");
 }
 
 HttpResponse ErrorResponse(int status, std::string_view message) {
-  return JsonResponse(status, {{"error", message}});
+  return IndentedResponse(status, {{"error", message}});
 }
 
 /// Returns the percent-decoded value of a query parameter; empty when absent.
@@ -159,7 +159,7 @@
     on_upstream_started_();
   }
   control_.upstream_announced_(announcement);
-  return JsonResponse(200, {{"node", shared_.settings_.name_}});
+  return IndentedResponse(200, {{"node", shared_.settings_.name_}});
 }
 
 HttpResponse OperatorApi::Status() const {
@@ -184,7 +184,7 @@
       body["services"][name] = DescribeService(shared_.metrics_, state, name, service);
     }
   }
-  return JsonResponse(200, body);
+  return IndentedResponse(200, body);
 }
 
 HttpResponse OperatorApi::Explain(const HttpRequest& request) const {
@@ -219,7 +219,7 @@
     body["moving_to"] = NodeName(state, unit->move_->to_);
     body["move_token"] = unit->move_->token_;
   }
-  return JsonResponse(200, body);
+  return IndentedResponse(200, body);
 }
 
 HttpResponse OperatorApi::RenderMetrics() {
@@ -250,7 +250,7 @@
 
 HttpResponse OperatorApi::Drain(const HttpRequest& request) {
   control_.drain_requested_(QueryParameter(request.path_, "exit") == "true");
-  return JsonResponse(202, {{"draining", true}});
+  return IndentedResponse(202, {{"draining", true}});
 }
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -23,10 +23,6 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-HttpResponse JsonResponse(std::string body) {
-  return {kOk, {{"Content-Type", "application/json"}}, std::move(body)};
-}
-
 }  // namespace
 
 void ControlThread::OnInstanceCall(const std::shared_ptr<HttpExchange>& exchange) {
@@ -67,7 +63,7 @@
                        " born_ms=" + std::to_string(received_heartbeat.born_ms_) +
                        " sequence=" + std::to_string(received_heartbeat.sequence_) +
                        " heartbeat is outdated; no grant is renewed.");
-    exchange->Respond(JsonResponse("{}"));
+    exchange->Respond(JsonResponse(kOk, "{}"));
     return;
   }
   if (effect == HeartbeatEffect::kUnconfirmed) {
@@ -78,7 +74,7 @@
     // A draining must not be acknowledged before it is recorded.
     exchange->Respond(received_heartbeat.draining_
                           ? HttpResponse{kUnavailable, {}, "not confirmed yet\n"}
-                          : JsonResponse("{}"));
+                          : JsonResponse(kOk, "{}"));
     return;
   }
   if (effect == HeartbeatEffect::kNewIncarnation || received_heartbeat.draining_) {
@@ -216,7 +212,7 @@
   for (std::size_t i = 0; i < pending_heartbeats_.size(); ++i) {
     const bool newest = i + 1 == pending_heartbeats_.size();
     pending_heartbeats_[i].exchange_->Respond(
-        JsonResponse(newest ? platform::EncodeHeartbeatAnswer(answer) : "{}"));
+        JsonResponse(kOk, newest ? platform::EncodeHeartbeatAnswer(answer) : "{}"));
   }
   pending_heartbeats_.clear();
   if (granted) {
--- a/Services/sassafrasbay/router/control_leaving.cc
+++ b/Services/sassafrasbay/router/control_leaving.cc
@@ -34,7 +34,7 @@
   const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
   if (!leaving || leaving->instance_ != instance) {
     // The leave of an earlier incarnation, to which nothing is sent any more.
-    exchange->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
+    exchange->Respond(JsonResponse(kOk, "{}"));
     return;
   }
   pending_leaves_.push_back({exchange, now});
@@ -66,23 +66,18 @@
   }
   leaving_write_pending_ = true;
   const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
-  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
-                           EncodeNodeRecord(OwnRecord())};
-  store_.Append(kFleetTopic, record, std::nullopt,
-                [this, record, leaving](const Result<std::uint64_t>& offset) {
-                  leaving_write_pending_ = false;
-                  if (!offset) {
-                    leaving_backoff_until_ = BootClock::now() + kWriteBackoff;
-                    LogWarning(kPart, "upstream=" + leaving->instance_ +
-                                          " leaving not recorded reason=\"" +
-                                          ToString(offset.error()) + "\".");
-                    return;
-                  }
-                  recorded_leaving_ = leaving;
-                  OnWritten({offset.value(), record.key_, record.value_});
-                  AnswerPendingLeaves();
-                  AnswerPendingHeartbeats();
-                });
+  AppendOwnRecord([this, leaving](const Result<std::uint64_t>& offset) {
+    leaving_write_pending_ = false;
+    if (!offset) {
+      leaving_backoff_until_ = BootClock::now() + kWriteBackoff;
+      LogWarning(kPart, "upstream=" + leaving->instance_ + " leaving not recorded reason=\"" +
+                            ToString(offset.error()) + "\".");
+      return;
+    }
+    recorded_leaving_ = leaving;
+    AnswerPendingLeaves();
+    AnswerPendingHeartbeats();
+  });
 }
 
 void ControlThread::AnswerPendingLeaves() {
@@ -90,7 +85,7 @@
   const bool recorded = IsLeavingRecorded();
   std::erase_if(pending_leaves_, [&](const PendingLeave& pending) {
     if (recorded) {
-      pending.exchange_->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
+      pending.exchange_->Respond(JsonResponse(kOk, "{}"));
       return true;
     }
     if (now - pending.received_at_ <= kMaxAnswerDelay) {
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -63,19 +63,27 @@
     return;
   }
   registration_pending_ = true;
+  AppendOwnRecord([this](const Result<std::uint64_t>& offset) {
+    if (offset) {
+      // Registrations of other nodes may precede this record.
+      fleet_topic_.ReadNow();
+      return;
+    }
+    registration_pending_ = false;
+    LogWarning(kPart, "registration not written reason=\"" + ToString(offset.error()) + "\".");
+  });
+}
+
+void ControlThread::AppendOwnRecord(std::function<void(const Result<std::uint64_t>&)> done) {
   const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
                            EncodeNodeRecord(OwnRecord())};
-  store_.Append(
-      kFleetTopic, record, std::nullopt, [this, record](const Result<std::uint64_t>& offset) {
-        if (offset) {
-          OnWritten({offset.value(), record.key_, record.value_});
-          // Registrations of other nodes may precede this record.
-          fleet_topic_.ReadNow();
-          return;
-        }
-        registration_pending_ = false;
-        LogWarning(kPart, "registration not written reason=\"" + ToString(offset.error()) + "\".");
-      });
+  store_.Append(kFleetTopic, record, std::nullopt,
+                [this, record, done = std::move(done)](const Result<std::uint64_t>& offset) {
+                  if (offset) {
+                    OnWritten({offset.value(), record.key_, record.value_});
+                  }
+                  done(offset);
+                });
 }
 
 // What an earlier process has recorded of a leaving upstream is kept, as a heartbeat from before
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -124,6 +124,8 @@
   void OnPeerRecord(const TableRecord& message);
   void Register();
   NodeRecord OwnRecord() const;
+  /// Writes this node's registration, whatever the end of the topic is.
+  void AppendOwnRecord(std::function<void(const Result<std::uint64_t>&)> done);
   void Publish();
   void ScheduleUpdate();
 
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -246,18 +246,21 @@
   return body.dump();
 }
 
-HttpCall Target::HeartbeatCall() const {
+HttpCall Target::NodeCall(std::string_view suffix, std::string body) const {
   HttpCall call;
   call.base_url_ = options_.node_control_url_;
-  call.request_ = {
-      "POST",
-      std::string(platform::kInstancesPath) + instance_ + std::string(platform::kHeartbeatSuffix),
-      {{"Content-Type", "application/json"}},
-      HeartbeatBody()};
+  call.request_ = {"POST",
+                   std::string(platform::kInstancesPath) + instance_ + std::string(suffix),
+                   {{"Content-Type", "application/json"}},
+                   std::move(body)};
   call.timeout_ = kAnswerTimeout;
   return call;
 }
 
+HttpCall Target::HeartbeatCall() const {
+  return NodeCall(platform::kHeartbeatSuffix, HeartbeatBody());
+}
+
 void Target::SendHeartbeat() {
   ExpireGrants();
   ++sequence_;
@@ -342,15 +345,7 @@
 }
 
 HttpCall Target::LeaveCall() const {
-  HttpCall call;
-  call.base_url_ = options_.node_control_url_;
-  call.request_ = {
-      "POST",
-      std::string(platform::kInstancesPath) + instance_ + std::string(platform::kLeaveSuffix),
-      {},
-      Json{{"born", born_ms_}}.dump()};
-  call.timeout_ = kAnswerTimeout;
-  return call;
+  return NodeCall(platform::kLeaveSuffix, Json{{"born", born_ms_}}.dump());
 }
 
 void Target::Leave() {
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -89,6 +89,7 @@
   void ExpireGrants();
   void Leave();
   HttpCall LeaveCall() const;
+  HttpCall NodeCall(std::string_view suffix, std::string body) const;
 
   ReactorLoop& loop_;
   Ledger& ledger_;
