LibTransport: Tell a silent connection from a slow or lost peer

A connection between nodes can go silent for good, in one direction or both, without an error. The proxy of the tests can make the present connections of a route silent.

Not used yet.

--- a/Libraries/LibTransport/peer_connection.h
+++ b/Libraries/LibTransport/peer_connection.h
@@ -28,6 +28,7 @@
   std::size_t output_start_ = 0;
   /// Offset in the output before which it belongs to a bulk frame; 0 without one.
   std::size_t bulk_end_ = 0;
+  BootTime progress_at_{};  ///< See PeerNetwork::ProgressAt.
   ReactorLoop::TimerId open_timer_ = 0;
 };
 
--- a/Libraries/LibTransport/peer_network.cc
+++ b/Libraries/LibTransport/peer_network.cc
@@ -60,6 +60,9 @@
   bool SendBulk(ConnectionId id, std::string_view frame) override;
   std::size_t PendingBulkBytes() const override;
   void CountOtherTraffic(std::size_t bytes) override;
+  bool Ping(ConnectionId id) override;
+  BootTime ProgressAt(ConnectionId id) const override;
+  void Reset(ConnectionId id) override;
   void Close(ConnectionId id) override;
   std::uint16_t Port() const override { return BoundPort(listener_); }
 
@@ -187,11 +190,17 @@
       events_.on_frame_(connection->id_, frame);
     }
   };
+  handlers.on_pong_ = [this, connection] {
+    if (!connection->closed_ && events_.on_pong_) {
+      events_.on_pong_(connection->id_);
+    }
+  };
   return handlers;
 }
 
 void Network::OnOpen(PeerConnection& connection) {
   connection.open_ = true;
+  connection.progress_at_ = BootClock::now();
   loop_.CancelTimer(std::exchange(connection.open_timer_, 0));
   for (const std::string& frame : std::exchange(connection.pending_frames_, {})) {
     connection.session_->Send(frame);
@@ -217,8 +226,11 @@
     OnConnected(connection);
     return;
   }
-  if ((ready & kWriteBit) != 0 && !Flush(connection)) {
-    return;
+  if ((ready & kWriteBit) != 0) {
+    connection->progress_at_ = BootClock::now();
+    if (!Flush(connection)) {
+      return;
+    }
   }
   if ((ready & kReadBit) != 0) {
     Read(connection);
@@ -255,6 +267,7 @@
          MakeError(Errc::kConnectionLost, "read from peer", connection->address_, detail));
     return;
   }
+  connection->progress_at_ = BootClock::now();
   const std::string_view bytes(read_buffer_.data(), static_cast<std::size_t>(count));
   const bool session_continues = connection->session_->Receive(bytes);
   if (connection->closed_) {
@@ -407,6 +420,33 @@
   }
 }
 
+bool Network::Ping(ConnectionId id) {
+  const PeerConnectionPointer connection = Find(id);
+  if (connection == nullptr || !connection->open_ || !connection->session_->Ping()) {
+    return false;
+  }
+  ScheduleFlush(connection);
+  return true;
+}
+
+BootTime Network::ProgressAt(ConnectionId id) const {
+  const PeerConnectionPointer connection = Find(id);
+  return connection == nullptr ? BootTime{} : connection->progress_at_;
+}
+
+void Network::Reset(ConnectionId id) {
+  const PeerConnectionPointer connection = Find(id);
+  if (connection == nullptr) {
+    return;
+  }
+  ResetOnClose(connection->socket_);
+  connections_.erase(id);
+  Release(connection);
+  if (bulk_connection_ == id) {
+    ScheduleBulk(milliseconds(0));
+  }
+}
+
 void Network::Close(ConnectionId id) {
   const PeerConnectionPointer connection = Find(id);
   if (connection == nullptr) {
--- a/Libraries/LibTransport/peer_network.h
+++ b/Libraries/LibTransport/peer_network.h
@@ -18,6 +18,7 @@
   std::function<void(ConnectionId)> on_open_;
   std::function<void(ConnectionId, std::string_view)> on_frame_;
   std::function<void(ConnectionId, const Error&)> on_closed_;
+  std::function<void(ConnectionId)> on_pong_;  ///< Answer to a Ping.
 };
 
 /// Websocket connections to other nodes, carrying binary frames in both directions. websocketpp
@@ -44,6 +45,15 @@
   /// Counts bytes that this process sends over the same link by other connections.
   virtual void CountOtherTraffic(std::size_t bytes) = 0;
 
+  /// Asks the peer for a sign of life on this connection. False when it isn't open.
+  virtual bool Ping(ConnectionId connection) = 0;
+
+  /// When bytes last arrived, or the peer last made room for bytes that waited for it.
+  virtual BootTime ProgressAt(ConnectionId connection) const = 0;
+
+  /// Closes a connection and drops what hasn't reached the peer. on_closed_ is not called.
+  virtual void Reset(ConnectionId connection) = 0;
+
   /// Closes a connection after sending as much of the queue as the socket accepts without blocking.
   /// on_closed_ is not called.
   virtual void Close(ConnectionId connection) = 0;
--- a/Libraries/LibTransport/tcp_socket.cc
+++ b/Libraries/LibTransport/tcp_socket.cc
@@ -108,6 +108,11 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 }
 
+void ResetOnClose(int socket) {
+  const linger reset{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 Error SystemError(int error_number, std::string_view operation, std::string_view peer) {
   return MakeError(std::error_code(error_number, std::generic_category()), operation, peer, {});
 }
--- a/Libraries/LibTransport/tcp_socket.h
+++ b/Libraries/LibTransport/tcp_socket.h
@@ -19,6 +19,9 @@
 /// Disables Nagle's algorithm, which delays small messages while earlier data is unacknowledged.
 void SetNoDelay(int socket);
 
+/// Makes the close of the socket reset its connection, which drops all bytes not yet acknowledged.
+void ResetOnClose(int socket);
+
 /// Converts an errno value into an Error with its operation and peer.
 Error SystemError(int error_number, std::string_view operation, std::string_view peer);
 
--- a/Libraries/LibTransport/websocket_session.cc
+++ b/Libraries/LibTransport/websocket_session.cc
@@ -65,6 +65,11 @@
             handlers_.on_frame_(message->get_payload());
           }
         });
+    connection_->set_pong_handler([this](const ws::connection_hdl&, const std::string&) {
+      if (!detached_) {
+        handlers_.on_pong_();
+      }
+    });
     connection_->set_shutdown_handler([this](const ws::connection_hdl&) {
       ended_ = true;
       return ws::lib::error_code();
@@ -106,6 +111,15 @@
     return !connection_->send(frame.data(), frame.size(), ws::frame::opcode::binary);
   }
 
+  bool Ping() override {
+    if (!open_ || ended_) {
+      return false;
+    }
+    ws::lib::error_code error;
+    connection_->ping("", error);
+    return !error;
+  }
+
   std::string EndReason() const override {
     return reason_.empty() ? connection_->get_ec().message() : reason_;
   }
--- a/Libraries/LibTransport/websocket_session.h
+++ b/Libraries/LibTransport/websocket_session.h
@@ -13,6 +13,7 @@
   std::function<void(std::string_view)> write_;  ///< Bytes for the socket.
   std::function<void()> on_open_;
   std::function<void(std::string_view)> on_frame_;
+  std::function<void()> on_pong_ = [] {};
 };
 
 /// Websocket protocol of one connection, without I/O. The implementation is compiled as C++17,
@@ -26,6 +27,8 @@
   virtual bool Receive(std::string_view bytes) = 0;
   /// Writes one binary frame. False when the session is not open.
   virtual bool Send(std::string_view frame) = 0;
+  /// Writes a ping, which the peer's session answers by itself. False when the session is not open.
+  virtual bool Ping() = 0;
   /// Describes why the session has ended.
   virtual std::string EndReason() const = 0;
 };
--- a/Tests/StandIns/proxy_relay.cc
+++ b/Tests/StandIns/proxy_relay.cc
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <vector>
 
+#include "LibTransport/tcp_socket.h"
 #include "StandIns/socket_owner.h"
 
 namespace sassafrasbay::stand_ins {
@@ -30,11 +31,6 @@
   return address;
 }
 
-void ResetOnClose(int descriptor) {
-  const linger reset{1, 0};
-  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 void CloseConnection(Proxy& proxy, ProxyConnection& connection, bool reset) {
   proxy.loop_.CancelTimer(connection.timer_);
   for (const int descriptor : {connection.to_target_.from_, connection.to_target_.to_}) {
@@ -66,6 +62,13 @@
   return combined;
 }
 
+ProxyFaults FaultsOf(const ProxyConnection& connection) {
+  ProxyFaults faults = EffectiveFaults(*connection.route_, connection.to_target_.from_);
+  faults.cut_to_target_ |= connection.silent_to_target_;
+  faults.cut_from_target_ |= connection.silent_from_target_;
+  return faults;
+}
+
 // Returns true when the stream failed and the connection has to be reset.
 bool ReadStream(ProxyStream& stream, bool cut, std::int64_t delay_ms, std::uint64_t* count) {
   std::array<char, kReadBytes> buffer;
@@ -202,7 +205,9 @@
   }
   const std::uint64_t limit = faults.reset_after_bytes_;
   failed |= limit > 0 && connection.bytes_from_target_ >= limit && from_target.queue_.empty();
-  if (failed || (to_target.shut_down_ && from_target.shut_down_)) {
+  const bool both_closed = to_target.ended_ && from_target.ended_;
+  if (failed || (to_target.shut_down_ && from_target.shut_down_) ||
+      (both_closed && to_target.discarded_ && from_target.discarded_)) {
     CloseConnection(proxy, connection, failed);
     return;
   }
@@ -265,7 +270,7 @@
   for (ProxyConnection* connection : connections) {
     const ProxyStream& to_target = connection->to_target_;
     const ProxyStream& from_target = connection->from_target_;
-    connection->faults_ = EffectiveFaults(route, to_target.from_);
+    connection->faults_ = FaultsOf(*connection);
     connection->bytes_from_target_ = 0;
     if ((to_target.discarded_ && !connection->faults_.cut_to_target_) ||
         (from_target.discarded_ && !connection->faults_.cut_from_target_)) {
@@ -274,4 +279,14 @@
   }
 }
 
+void SilenceConnections(Proxy& proxy, const ProxyRoute& route, bool to_target, bool from_target) {
+  for (const auto& [pointer, connection] : proxy.connections_) {
+    if (connection->route_ == &route) {
+      connection->silent_to_target_ |= to_target;
+      connection->silent_from_target_ |= from_target;
+      connection->faults_ = FaultsOf(*connection);
+    }
+  }
+}
+
 }  // namespace sassafrasbay::stand_ins
--- a/Tests/StandIns/proxy_relay.h
+++ b/Tests/StandIns/proxy_relay.h
@@ -53,6 +53,8 @@
 struct ProxyConnection {
   const ProxyRoute* route_ = nullptr;
   ProxyFaults faults_;
+  bool silent_to_target_ = false;  ///< Discards bytes to the target for good.
+  bool silent_from_target_ = false;
   ProxyStream to_target_;
   ProxyStream from_target_;
   std::uint64_t bytes_from_target_ = 0;
@@ -74,4 +76,8 @@
 /// when its cut ends.
 void UpdateConnectionFaults(Proxy& proxy, const ProxyRoute& route);
 
+/// Makes the present connections of a route silent for good, in one or both directions. Neither
+/// side sees an end, and later connections aren't affected.
+void SilenceConnections(Proxy& proxy, const ProxyRoute& route, bool to_target, bool from_target);
+
 }  // namespace sassafrasbay::stand_ins
