LibRouting: Name the attempts of forwarded requests across connections

A request that one node sends to another was known there by its connection, so it ended with it.

Not used yet.

--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -21,6 +21,7 @@
   kSuspect = 37,
   kDemandReport = 38,
   kTableRecord = 39,
+  kIntroduction = 40,
 };
 
 Cbor Start(Type type) { return {{"t", static_cast<std::uint64_t>(type)}}; }
@@ -42,6 +43,9 @@
 std::string Write(const ForwardedRequest& message) {
   Cbor value = Start(Type::kForwardedRequest);
   value["n"] = message.number_;
+  if (message.sent_before_to_) {
+    value["sb"] = *message.sent_before_to_;
+  }
   value["s"] = message.service_;
   if (message.shard_key_) {
     value["k"] = *message.shard_key_;
@@ -72,6 +76,13 @@
   return SerializeFrame(value, message.response_.body_);
 }
 
+std::string Write(const Introduction& message) {
+  Cbor value = Start(Type::kIntroduction);
+  value["a"] = message.address_;
+  value["in"] = message.incarnation_;
+  return SerializeFrame(value);
+}
+
 std::string Write(const CancelForwarded& message) {
   Cbor value = Start(Type::kCancelForwarded);
   value["n"] = message.number_;
@@ -156,6 +167,9 @@
 ForwardedRequest ReadForwardedRequest(FieldReader& reader) {
   ForwardedRequest message;
   Read(reader, "n", message.number_);
+  if (reader.fields_ != nullptr && reader.fields_->contains("sb")) {
+    message.sent_before_to_ = TakeText(reader, "sb");
+  }
   message.service_ = TakeText(reader, "s");
   ReadIfPresent(reader, "k", message.shard_key_);
   message.request_id_ = TakeBytes(reader, "i");
@@ -188,6 +202,13 @@
   return message;
 }
 
+Introduction ReadIntroduction(FieldReader& reader) {
+  Introduction message;
+  message.address_ = TakeText(reader, "a");
+  message.incarnation_ = TakeText(reader, "in");
+  return message;
+}
+
 NodeReport ReadNodeReport(FieldReader& reader) {
   NodeReport message;
   message.address_ = TakeText(reader, "a");
@@ -308,6 +329,9 @@
     case Type::kCancelForwarded:
       Read(reader, "n", message.emplace<CancelForwarded>().number_);
       break;
+    case Type::kIntroduction:
+      message = ReadIntroduction(reader);
+      break;
     case Type::kNodeReport:
       message = ReadNodeReport(reader);
       break;
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -17,7 +17,11 @@
 
 /// A caller's request, sent by the node that received it to the node beside the upstream.
 struct ForwardedRequest {
-  std::uint64_t number_ = 0;  ///< Correlates the answer with the request on this connection.
+  /// Names this attempt among all that the sender's process makes; its answer returns the number.
+  std::uint64_t number_ = 0;
+  /// Incarnation of the receiver to which the attempt was sent before, over a connection that was
+  /// lost; nothing when it is sent for the first time.
+  std::optional<std::string> sent_before_to_;
   std::string service_;
   std::optional<std::uint32_t> shard_key_;
   std::string request_id_;
@@ -72,6 +76,13 @@
   HttpResponse response_;
 };
 
+/// First message on a connection that is used for requests. Earlier connections of the same sender
+/// are no longer used.
+struct Introduction {
+  std::string address_;      ///< Peer address of the sender.
+  std::string incarnation_;  ///< Random id of the sender's process.
+};
+
 /// Cancels a ForwardedRequest whose caller has disconnected.
 struct CancelForwarded {
   std::uint64_t number_ = 0;
@@ -148,7 +159,7 @@
 };
 
 using NodeMessage = std::variant<ForwardedRequest, ForwardedAnswer, CancelForwarded, NodeReport,
-                                 StateTransfer, TableRecord, DemandReport, Suspect>;
+                                 StateTransfer, TableRecord, DemandReport, Suspect, Introduction>;
 
 /// Encodes a message as one CBOR frame.
 std::string EncodeNodeMessage(const NodeMessage& message);
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -11,6 +11,7 @@
 std::vector<NodeMessage> Samples() {
   ForwardedRequest request;
   request.number_ = 7;
+  request.sent_before_to_ = "p2";
   request.service_ = "s1";
   request.shard_key_ = 65535;
   request.request_id_ = "9c41";
@@ -40,8 +41,9 @@
   report.leaving_born_ms_ = 1700000000456;
   StateTransfer state{"text", 5, {{"k", std::string("\0v", 2)}}};
   DemandReport demand{"10.1.0.8:7620", "s1", 120.5, {{1, 9, 3.5}}};
-  return {request, answer,       CancelForwarded{7}, report, state, TableRecord{3, "k", "v"},
-          demand,  Suspect{9, 2}};
+  return {request, answer,        CancelForwarded{7},
+          report,  state,         TableRecord{3, "k", "v"},
+          demand,  Suspect{9, 2}, Introduction{"10.1.0.8:7620", "p1"}};
 }
 
 BOOST_AUTO_TEST_SUITE(NodeMessages)
