router: Judge each connection by its own traffic, and let requests outlive it

Requests ended as 502 or 504 without having reached an upstream.

Cause: a pair of nodes has two connections, one opened by each. When no report of a peer arrived, a node replaced its own connection to it; but these reports travel on the peer's. So sound connections were replaced at every report, and the requests on them given up, while the silent ones stayed. The class: the state of one connection inferred from another one.

Change: the node that opened a connection judges it by what travels on it. Reports go over both connections of a pair in turn, and confirm only what went over the same one; requests that wait for an answer count as well. What stays unconfirmed is probed, and a connection whose probe has no answer is replaced once a new one shows that the peer answers: a paused, slow or lost peer keeps its connection. Attempts are named by the sender's process and a number, so that those on a lost connection are sent again over the next one, where they find their run or their answer. A request whose connection never opened was not sent, and is refused or goes elsewhere, instead of ending as 502.

The soak makes connections silent as well.

--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -35,43 +35,70 @@
 }  // namespace
 
 void RequestRouter::OnAnswer(ConnectionId connection, ForwardedAnswer answer) {
-  const auto found = pending_.find(answer.number_);
+  const std::uint64_t number = RequestOfAttempt(answer.number_);
+  const auto found = pending_.find(number);
   // A number is valid only on the connection on which the request was last sent.
   if (found == pending_.end() || found->second.location_ != Location::kPeer ||
-      found->second.connection_ != connection) {
+      found->second.connection_ != connection || found->second.request_.number_ != answer.number_) {
     shared_.metrics_.Count("sassafrasbay_peer_replies_unmatched_total");
     return;
   }
   PeerState& peer = peers_[found->second.node_];
   peer.load_ = answer.load_;
   peer.open_requests_at_load_ = peer.open_requests_ - 1;
-  const std::uint64_t number = answer.number_;
   HandleAnswer(number, std::move(answer));
 }
 
-bool RequestRouter::AwaitsAnswers(ConnectionId connection) const {
-  return std::any_of(pending_.begin(), pending_.end(), [connection](const auto& entry) {
-    return entry.second.location_ == Location::kPeer && entry.second.connection_ == connection;
-  });
+AwaitedAnswers RequestRouter::AwaitedOn() const {
+  AwaitedAnswers awaited;
+  for (const auto& [number, pending] : pending_) {
+    if (pending.location_ == Location::kPeer) {
+      BootTime& oldest = awaited.try_emplace(pending.connection_, pending.sent_at_).first->second;
+      oldest = std::min(oldest, pending.sent_at_);
+    }
+  }
+  return awaited;
 }
 
-void RequestRouter::OnLinkLost(const std::string& address, ConnectionId connection) {
+// The node that has received an attempt finds it by its number, so that it doesn't run twice, and
+// its answer isn't lost with the connection. An attempt whose process isn't known may have run in
+// an earlier one.
+void RequestRouter::OnLinkLost(const std::string& address, ConnectionId connection, bool was_open) {
   std::vector<std::uint64_t> lost;
-  for (const auto& [number, pending] : pending_) {
-    if (pending.location_ == Location::kPeer && pending.connection_ == connection) {
-      lost.push_back(number);
+  std::size_t sent_again = 0;
+  for (auto& [number, pending] : pending_) {
+    if (pending.location_ != Location::kPeer || pending.connection_ != connection) {
+      continue;
     }
+    if (was_open && !pending.node_incarnation_.empty()) {
+      pending.request_.sent_before_to_ = pending.node_incarnation_;
+      if (SendToPeer(pending)) {
+        ++sent_again;
+        continue;
+      }
+    }
+    lost.push_back(number);
+  }
+  if (sent_again + lost.size() > 0) {
+    LogInfo(kPart, "peer=" + address + " connection=" + std::to_string(connection) +
+                       " lost; requests sent_again=" + std::to_string(sent_again) +
+                       " ended=" + std::to_string(lost.size()) + ".");
   }
   for (const std::uint64_t number : lost) {
+    const auto found = pending_.find(number);
+    if (found == pending_.end()) {
+      continue;
+    }
     ForwardedAnswer answer;
-    answer.number_ = number;
+    if (!was_open && !found->second.request_.sent_before_to_) {
+      answer.reason_ = RefusalReason::kNoUpstream;
+      RecordAttemptEnd(found->second, true);
+      OnRefused(number, answer);
+      continue;
+    }
     answer.outcome_ = GateOutcome::kUnknown;
     HandleAnswer(number, std::move(answer));
   }
-  if (const auto peer = peers_.find(address); peer != peers_.end()) {
-    peer->second.open_requests_ = 0;
-    peer->second.open_requests_at_load_ = 0;
-  }
 }
 
 void RequestRouter::RecordAttemptEnd(Pending& pending, bool failed) {
@@ -221,7 +248,7 @@
                            std::string_view outcome) {
   Pending& pending = pending_.at(number);
   const bool never_sent = pending.location_ == Location::kUnassigned && pending.sent_ == 0;
-  CancelAttempt(number, pending);
+  CancelAttempt(pending);
   if (never_sent) {
     Refuse(number, refusal);
     return;
@@ -246,15 +273,15 @@
   if (found == pending_.end()) {
     return;
   }
-  CancelAttempt(number, found->second);
+  CancelAttempt(found->second);
   Finish(number, HttpResponse{}, "abandoned");
 }
 
-void RequestRouter::CancelAttempt(std::uint64_t number, Pending& pending) {
+void RequestRouter::CancelAttempt(Pending& pending) {
   if (pending.location_ == Location::kLocalGate && pending.gate_number_ != 0) {
     gate_.Cancel(pending.gate_number_);
   } else if (pending.location_ == Location::kPeer) {
-    links_.Reply(pending.connection_, CancelForwarded{number});
+    links_.Reply(pending.connection_, CancelForwarded{pending.request_.number_});
   }
   RecordAttemptEnd(pending, false);
 }
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -30,6 +30,9 @@
   return found == times.end() ? 0 : found->ms_;
 }
 
+/// Bits of an attempt's number that count the attempts of one request.
+constexpr unsigned kAttemptBits = 10;
+
 std::uint32_t MillisecondsUntil(BootTime end, BootTime now) {
   const auto left = std::chrono::duration_cast<milliseconds>(end - now).count();
   return static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, left));
@@ -46,6 +49,14 @@
       random_(HashBytes(RandomId())),
       caller_service_(shared.environment_.service_) {}
 
+std::uint64_t RequestRouter::AttemptNumber(std::uint64_t request, std::uint64_t attempt) {
+  return (request << kAttemptBits) | (attempt & ((1U << kAttemptBits) - 1));
+}
+
+std::uint64_t RequestRouter::RequestOfAttempt(std::uint64_t attempt_number) {
+  return attempt_number >> kAttemptBits;
+}
+
 double RequestRouter::RandomFraction() {
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
@@ -82,7 +93,6 @@
   const std::uint64_t number = ++last_request_number_;
   Pending& pending = pending_[number];
   pending = std::move(accepted.value());
-  pending.request_.number_ = number;
   pending.deadline_timer_ =
       loop_.StartTimer(milliseconds(MillisecondsUntil(pending.deadline_, pending.received_at_)),
                        [this, number] { OnDeadline(number); });
@@ -268,9 +278,11 @@
     Refuse(number, "node-ending");
     return;
   }
-  pending.request_.remaining_ms_ = MillisecondsUntil(pending.deadline_, now);
-  pending.request_.objective_ms_ = MillisecondsUntil(pending.objective_, now);
+  pending.request_.number_ = AttemptNumber(number, ++pending.attempts_);
+  pending.request_.sent_before_to_.reset();
   if (node == shared_.self_) {
+    pending.request_.remaining_ms_ = MillisecondsUntil(pending.deadline_, now);
+    pending.request_.objective_ms_ = MillisecondsUntil(pending.objective_, now);
     pending.location_ = Location::kLocalGate;
     // Submit may call the handler before it returns; the gate then has nothing to cancel.
     const auto answered = std::make_shared<bool>(false);
@@ -282,8 +294,10 @@
     pending.gate_number_ = *answered ? 0 : gate_number;
     return;
   }
-  pending.connection_ = links_.Send(node, pending.request_);
-  if (pending.connection_ == 0) {
+  const auto peer = peers_.find(node);
+  pending.node_incarnation_ =
+      peer == peers_.end() ? "" : peer->second.latest_report_.report_.incarnation_;
+  if (!SendToPeer(pending)) {
     pending.tried_nodes_.insert(node);
     pending.last_refusal_ = RefusalReason::kNoUpstream;
     if (pending.sharded_ || ++pending.refusals_ >= kMaxRefusals) {
@@ -297,4 +311,13 @@
   ++peers_[node].open_requests_;
 }
 
+bool RequestRouter::SendToPeer(Pending& pending) {
+  const BootTime now = BootClock::now();
+  pending.request_.remaining_ms_ = MillisecondsUntil(pending.deadline_, now);
+  pending.request_.objective_ms_ = MillisecondsUntil(pending.objective_, now);
+  pending.sent_at_ = now;
+  pending.connection_ = links_.Send(pending.node_, pending.request_);
+  return pending.connection_ != 0;
+}
+
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/request_router.h
+++ b/Services/sassafrasbay/router/request_router.h
@@ -54,15 +54,17 @@
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
   void OnAnswer(ConnectionId connection, ForwardedAnswer answer);
-  void OnLinkLost(const std::string& address, ConnectionId connection);
+  /// Sends the requests of a lost connection again over a new one, or ends their attempts.
+  /// `was_open` is false if nothing was sent on it.
+  void OnLinkLost(const std::string& address, ConnectionId connection, bool was_open);
 
   /// The upstream beside that node if it is known to leave, otherwise null.
   const LeavingUpstreams::Entry* FindLeavingUpstream(std::string_view node) const {
     return FindLeaving(leaving_upstreams_, node);
   }
 
-  /// Whether requests that were sent on the connection have no answer yet.
-  bool AwaitsAnswers(ConnectionId connection) const;
+  /// Requests that were sent to other nodes and have no answer yet.
+  AwaitedAnswers AwaitedOn() const;
 
   bool IsIdle() const { return pending_.empty(); }
 
@@ -87,8 +89,11 @@
     milliseconds retry_after_{0};  ///< Minimum that a gate proposed; 0 if none.
     RefusalReason last_refusal_ = RefusalReason::kNone;
     Location location_ = Location::kUnassigned;
-    std::string node_;  ///< Node of the newest attempt.
+    std::string node_;              ///< Node of the newest attempt.
+    std::string node_incarnation_;  ///< Process that the attempt was sent to; empty if not known.
     ConnectionId connection_ = 0;
+    BootTime sent_at_{};  ///< When the newest attempt was sent on the connection.
+    std::uint64_t attempts_ = 0;
     UpstreamGate::RequestNumber gate_number_ = 0;
     ReactorLoop::TimerId deadline_timer_ = 0;
     ReactorLoop::TimerId retry_timer_ = 0;
@@ -112,6 +117,8 @@
   bool IsAlive(const std::string& node) const;
   bool IsShuttingDown(const std::string& node) const;
   void SendTo(std::uint64_t number, const std::string& node);
+  /// Sends an open attempt over the present connection to its node. Returns false if that fails.
+  bool SendToPeer(Pending& pending);
   void HandleAnswer(std::uint64_t number, ForwardedAnswer answer);
   void OnRefused(std::uint64_t number, const ForwardedAnswer& answer);
   /// Budget of this node for retries to `service`.
@@ -124,13 +131,16 @@
   /// Cancels the open attempt and answers 503 if the request was never sent, otherwise 504.
   void GiveUp(std::uint64_t number, std::string_view refusal, std::string_view outcome);
   void OnAbandoned(std::uint64_t number);
-  void CancelAttempt(std::uint64_t number, Pending& pending);
+  void CancelAttempt(Pending& pending);
   void RecordAttemptEnd(Pending& pending, bool failed);
   void Refuse(std::uint64_t number, std::string_view reason);
   void LogOutcome(const Pending& pending, int status, std::string_view outcome,
                   double took_ms) const;
   void Finish(std::uint64_t number, HttpResponse response, std::string_view outcome);
   double RandomFraction();
+  /// Names an attempt among all of this process.
+  static std::uint64_t AttemptNumber(std::uint64_t request, std::uint64_t attempt);
+  static std::uint64_t RequestOfAttempt(std::uint64_t attempt_number);
 
   ReactorLoop& loop_;
   RouterShared& shared_;
--- /dev/null
+++ b/Services/sassafrasbay/router/traffic_forwarded.cc
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "LibCore/logging.h"
+#include "LibOwnership/report_timing.h"
+#include "router/traffic_thread.h"
+
+namespace sassafrasbay {
+namespace {
+
+constexpr std::string_view kPart = "traffic";
+
+/// Report intervals in which a sound connection confirms a report: every other one goes over it,
+/// and the next one of the peer confirms it.
+constexpr int kConfirmationIntervals = 3;
+
+/// Added for the checks for due reports and the network delay.
+constexpr milliseconds kConfirmationSlack{250};
+
+/// A connection of a peer on which nothing arrives for so many report intervals is dropped; its
+/// sender is gone, or uses another one.
+constexpr int kMaxSilentIntervals = 20;
+constexpr milliseconds kMinIncomingTimeout{30'000};
+
+}  // namespace
+
+// Answers go to the newest connection of a sender. Nothing may be read from an earlier one any
+// more: an attempt on it that the sender has sent again, and given up meanwhile, would run later.
+void TrafficThread::OnIntroduction(ConnectionId connection, const Introduction& introduction) {
+  IncomingLink& link = incoming_[introduction.address_];
+  if (link.connection_ != 0 && link.connection_ != connection) {
+    LogInfo(kPart, "peer=" + introduction.address_ +
+                       " incoming=replaced connection=" + std::to_string(link.connection_) +
+                       " by=" + std::to_string(connection) + " same_process=" +
+                       (link.incarnation_ == introduction.incarnation_ ? "true" : "false") + ".");
+    links_.DropIncoming(link.connection_);
+    origins_.erase(link.connection_);
+    DetachConnection(attempts_, link.connection_, BootClock::now());
+  }
+  if (link.incarnation_ != introduction.incarnation_) {
+    for (const UpstreamGate::RequestNumber number : TakeAttemptsOf(attempts_, link.incarnation_)) {
+      gate_.Cancel(number);
+    }
+  }
+  link = {connection, introduction.incarnation_};
+  origins_[connection] = introduction.incarnation_;
+}
+
+std::string TrafficThread::OriginOf(ConnectionId connection) const {
+  const auto origin = origins_.find(connection);
+  return origin == origins_.end() ? "connection-" + std::to_string(connection) : origin->second;
+}
+
+void TrafficThread::OnForwarded(ConnectionId connection, ForwardedRequest request) {
+  const AttemptKey key{OriginOf(connection), request.number_};
+  const Arrival arrival =
+      RecordArrival(attempts_, key, connection, request.sent_before_to_, shared_.incarnation_id_);
+  if (request.sent_before_to_) {
+    shared_.metrics_.Count("sassafrasbay_forwarded_again_total",
+                           "found=\"" + std::string(ToString(arrival.kind_)) + "\"");
+    LogInfo(kPart, "request=" + request.request_id_ +
+                       " sent_again found=" + std::string(ToString(arrival.kind_)) +
+                       " connection=" + std::to_string(connection) + ".");
+  }
+  switch (arrival.kind_) {
+    case ArrivalKind::kJoined:
+      return;
+    case ArrivalKind::kAnswered:
+      links_.ReplyFrame(connection, arrival.answer_);
+      return;
+    case ArrivalKind::kUnknown: {
+      ForwardedAnswer unknown;
+      unknown.number_ = request.number_;
+      unknown.load_ = gate_.Load();
+      links_.Reply(connection, unknown);
+      return;
+    }
+    case ArrivalKind::kNew:
+      break;
+  }
+  const UpstreamGate::RequestNumber number =
+      gate_.Submit(std::move(request), [this, key](const ForwardedAnswer& answer) {
+        std::string frame = EncodeNodeMessage(answer);
+        if (const ConnectionId receiver = AnswerConnection(attempts_, key)) {
+          links_.ReplyFrame(receiver, frame);
+        }
+        RecordAnswer(attempts_, key, std::move(frame), BootClock::now());
+      });
+  RecordSubmitted(attempts_, key, number);
+}
+
+void TrafficThread::OnCancelled(ConnectionId connection, const CancelForwarded& cancel) {
+  gate_.Cancel(RemoveCancelled(attempts_, {OriginOf(connection), cancel.number_}));
+}
+
+// The sender may have lost only the connection.
+void TrafficThread::OnIncomingClosed(ConnectionId connection) {
+  DetachConnection(attempts_, connection, BootClock::now());
+  origins_.erase(connection);
+  std::erase_if(incoming_,
+                [connection](const auto& entry) { return entry.second.connection_ == connection; });
+}
+
+void TrafficThread::CheckConnections() {
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  const milliseconds interval = ReportInterval(NodeCount(), false);
+  links_.CheckConnections(kConfirmationIntervals * interval + kConfirmationSlack);
+  const BootTime now = BootClock::now();
+  const milliseconds timeout = std::max(kMinIncomingTimeout, kMaxSilentIntervals * interval);
+  std::vector<ConnectionId> silent;
+  for (const auto& [address, link] : incoming_) {
+    if (now - links_.ProgressAt(link.connection_) > timeout) {
+      LogInfo(kPart, "peer=" + address + " incoming=dropped connection=" +
+                         std::to_string(link.connection_) + " reason=\"nothing received\".");
+      silent.push_back(link.connection_);
+    }
+  }
+  for (const ConnectionId connection : silent) {
+    links_.DropIncoming(connection);
+    OnIncomingClosed(connection);
+  }
+  for (const UpstreamGate::RequestNumber number : TakeAbandoned(attempts_, now)) {
+    gate_.Cancel(number);
+  }
+}
+
+}  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -1,9 +1,11 @@
 #include "router/traffic_thread.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "LibOwnership/report_timing.h"
+#include "router/echoed_clock.h"
 
 namespace sassafrasbay {
 namespace {
@@ -53,13 +55,17 @@
   hooks.on_message_ = [this](ConnectionId connection, NodeMessage message) {
     OnMessage(connection, std::move(message));
   };
-  hooks.on_outgoing_closed_ = [this](const std::string& address, ConnectionId connection) {
-    router_.OnLinkLost(address, connection);
+  hooks.on_outgoing_closed_ = [this](const std::string& address, ConnectionId connection,
+                                     bool was_open) {
+    router_.OnLinkLost(address, connection, was_open);
   };
-  hooks.on_incoming_closed_ = [this](ConnectionId connection) { OnIncomingClosed(connection); };
-  hooks.awaits_answers_ = [this](ConnectionId connection) {
-    return router_.AwaitsAnswers(connection);
+  hooks.on_replaced_ = [this](const std::string& address, ConnectionId silent) {
+    sent_reports_.erase(address);
+    router_.OnLinkLost(address, silent, true);
+    SendDueReports();
   };
+  hooks.on_incoming_closed_ = [this](ConnectionId connection) { OnIncomingClosed(connection); };
+  hooks.awaited_answers_ = [this] { return router_.AwaitedOn(); };
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
   gate_.SetHooks({[this] { control_.upstream_connection_refused_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); },
@@ -94,7 +100,10 @@
   callers_ = std::move(callers.value());
   ready_ = std::move(ready.value());
   metrics_ = std::move(metrics.value());
-  loop_.StartRepeatingTimer(kReportCheckInterval, [this] { SendDueReports(); });
+  loop_.StartRepeatingTimer(kReportCheckInterval, [this] {
+    SendDueReports();
+    CheckConnections();
+  });
   loop_.StartRepeatingTimer(kDemandInterval, [this] { SendDemand(); });
   return boost::outcome_v2::success();
 }
@@ -156,12 +165,10 @@
     OnForwarded(connection, std::move(*request));
   } else if (auto* answer = std::get_if<ForwardedAnswer>(&message)) {
     router_.OnAnswer(connection, std::move(*answer));
+  } else if (const auto* introduction = std::get_if<Introduction>(&message)) {
+    OnIntroduction(connection, *introduction);
   } else if (const auto* cancel = std::get_if<CancelForwarded>(&message)) {
-    const auto found = forwarded_requests_.find({connection, cancel->number_});
-    if (found != forwarded_requests_.end()) {
-      gate_.Cancel(found->second);
-      forwarded_requests_.erase(found);
-    }
+    OnCancelled(connection, *cancel);
   } else if (const auto* report = std::get_if<NodeReport>(&message)) {
     OnReport(connection, *report);
   } else if (auto* state = std::get_if<StateTransfer>(&message)) {
@@ -175,37 +182,17 @@
   }
 }
 
-void TrafficThread::OnForwarded(ConnectionId connection, ForwardedRequest request) {
-  const std::pair<ConnectionId, std::uint64_t> key{connection, request.number_};
-  const auto answered = std::make_shared<bool>(false);
-  const UpstreamGate::RequestNumber number =
-      gate_.Submit(std::move(request), [this, key, answered](ForwardedAnswer answer) {
-        *answered = true;
-        forwarded_requests_.erase(key);
-        links_.Reply(key.first, answer);
-      });
-  if (!*answered) {
-    forwarded_requests_[key] = number;
-  }
-}
-
-// No answer can be sent on a closed connection, so its requests are cancelled.
-void TrafficThread::OnIncomingClosed(ConnectionId connection) {
-  const auto first = forwarded_requests_.lower_bound({connection, 0});
-  std::vector<UpstreamGate::RequestNumber> numbers;
-  auto last = first;
-  for (; last != forwarded_requests_.end() && last->first.first == connection; ++last) {
-    numbers.push_back(last->second);
-  }
-  forwarded_requests_.erase(first, last);
-  for (const UpstreamGate::RequestNumber number : numbers) {
-    gate_.Cancel(number);
-  }
-}
-
 void TrafficThread::OnReport(ConnectionId connection, const NodeReport& report) {
+  // Reports of a node that go over different connections may overtake each other.
+  const auto newest = reports_.find(report.address_);
+  if (newest != reports_.end() && newest->second.report_.incarnation_ == report.incarnation_ &&
+      newest->second.report_.clock_ms_ > report.clock_ms_) {
+    shared_.metrics_.Count("sassafrasbay_peer_reports_overtaken_total");
+    return;
+  }
   const ReceivedReport received_report{report, BootClock::now()};
   reports_[report.address_] = received_report;
+  ConfirmReport(report);
   router_.SetReport(received_report);
   control_.report_received_(received_report);
   if (snapshot_ == nullptr) {
@@ -306,8 +293,8 @@
   for (const Member& member : snapshot_->members_) {
     const milliseconds interval =
         ReportInterval(NodeCount(), is_reader || snapshot_->readers_.contains(member.address_));
-    const auto sent = report_sent_.find(member.address_);
-    if (sent != report_sent_.end() && now - sent->second < interval) {
+    const auto sent = sent_reports_.find(member.address_);
+    if (sent != sent_reports_.end() && now - sent->second.newest_at_ < interval) {
       continue;
     }
     if (!report) {
@@ -323,11 +310,6 @@
       last_report == reports_.end() ? 0 : last_report->second.report_.clock_ms_;
   report.echoed_incarnation_ =
       last_report == reports_.end() ? "" : last_report->second.report_.incarnation_;
-  // A connection can fail without an error; a new one shows whether the node is alive.
-  if (last_report != reports_.end() &&
-      now - last_report->second.received_at_ > SuspicionTimeout(NodeCount())) {
-    links_.Replace(address);
-  }
   // A promise to a node that may be lost would only delay the takeover of its keys.
   const bool is_alive = last_report != reports_.end() &&
                         now - last_report->second.received_at_ < PresumedAliveTimeout(NodeCount());
@@ -335,10 +317,40 @@
   const LeavingUpstreams::Entry* leaving = router_.FindLeavingUpstream(address);
   report.leaving_instance_ = leaving == nullptr ? "" : leaving->holder_.instance_;
   report.leaving_born_ms_ = leaving == nullptr ? 0 : leaving->holder_.born_ms_;
-  report_sent_[address] = now;
+  SentReports& sent = sent_reports_[address];
+  sent.newest_at_ = now;
+  if (const ConnectionId incoming = NextReportConnection(address)) {
+    links_.Reply(incoming, report);
+    return;
+  }
+  sent.own_clocks_[sent.own_count_++ % sent.own_clocks_.size()] = report.clock_ms_;
   links_.Send(address, report);
 }
 
+// Reports go over both connections of a pair in turn, so that each side sees in both directions
+// whether its own one is silent.
+ConnectionId TrafficThread::NextReportConnection(const std::string& address) {
+  const auto incoming = incoming_.find(address);
+  if (incoming == incoming_.end()) {
+    return 0;
+  }
+  const bool takes_report =
+      std::exchange(incoming->second.takes_next_report_, !incoming->second.takes_next_report_);
+  return takes_report ? incoming->second.connection_ : 0;
+}
+
+void TrafficThread::ConfirmReport(const NodeReport& report) {
+  const auto sent_at = EchoedTime(report, shared_.incarnation_id_, BootClock::now());
+  const auto sent = sent_reports_.find(report.address_);
+  if (!sent_at || sent == sent_reports_.end()) {
+    return;
+  }
+  const auto& clocks = sent->second.own_clocks_;
+  if (std::find(clocks.begin(), clocks.end(), report.echoed_clock_ms_) != clocks.end()) {
+    links_.ConfirmSent(report.address_, *sent_at);
+  }
+}
+
 // Only the nodes with the lowest addresses plan moves; the second takes over when the first is
 // lost.
 void TrafficThread::SendDemand() {
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "LibRouting/forwarded_attempts.h"
 #include "LibTransport/http_server.h"
 #include "LibTransport/reactor_loop.h"
 #include "router/peer_links.h"
@@ -39,9 +41,27 @@
   void Stop() { loop_.Stop(); }
 
  private:
+  struct IncomingLink {
+    ConnectionId connection_ = 0;
+    std::string incarnation_;
+    bool takes_next_report_ = true;
+  };
+
+  /// Reports sent to one node.
+  struct SentReports {
+    BootTime newest_at_{};
+    /// Clock values of the newest ones that were sent on this node's own connection.
+    std::array<std::uint64_t, 4> own_clocks_{};
+    std::size_t own_count_ = 0;
+  };
+
   void SetSnapshot(const std::shared_ptr<const RouterSnapshot>& snapshot);
   void OnMessage(ConnectionId connection, NodeMessage message);
+  void OnIntroduction(ConnectionId connection, const Introduction& introduction);
   void OnForwarded(ConnectionId connection, ForwardedRequest request);
+  void OnCancelled(ConnectionId connection, const CancelForwarded& cancel);
+  /// Identity of the process that opened the connection.
+  std::string OriginOf(ConnectionId connection) const;
   void OnReport(ConnectionId connection, const NodeReport& report);
   void OnIncomingClosed(ConnectionId connection);
   void Broadcast(const NodeMessage& message);
@@ -49,7 +69,13 @@
   void SendReports();
   /// Sends a report to each node whose report interval has passed.
   void SendDueReports();
+  /// Replaces the connections of this node that are silent, and drops those of others.
+  void CheckConnections();
   void SendReport(NodeReport& report, const std::string& address, BootTime now);
+  /// Connection of the peer that the next report goes over; 0 for that of this node.
+  ConnectionId NextReportConnection(const std::string& address);
+  /// Records that a peer has received a report of this node, if it went over its own connection.
+  void ConfirmReport(const NodeReport& report);
   /// Number of live nodes that are due to send the state to `address` before this one.
   std::size_t StateTransferTurn(const std::string& address) const;
   std::size_t NodeCount() const;
@@ -72,11 +98,13 @@
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> metrics_;
   std::shared_ptr<const RouterSnapshot> snapshot_;
-  std::map<std::string, ReceivedReport> reports_;  ///< Newest by peer address.
-  std::map<std::string, BootTime> report_sent_;    ///< Time of the newest, by peer address.
-  std::map<std::string, BootTime> lagging_since_;  ///< Nodes that lack state of this one.
-  /// Gate numbers of open requests of peers, by connection and the number that the peer gave them.
-  std::map<std::pair<ConnectionId, std::uint64_t>, UpstreamGate::RequestNumber> forwarded_requests_;
+  std::map<std::string, ReceivedReport> reports_;    ///< Newest by peer address.
+  std::map<std::string, SentReports> sent_reports_;  ///< By peer address.
+  std::map<std::string, BootTime> lagging_since_;    ///< Nodes that lack state of this one.
+  ForwardedAttempts attempts_;                       ///< Of requests of peers.
+  /// Connections that peers have opened, by the sender's address; the newest one of each.
+  std::map<std::string, IncomingLink> incoming_;
+  std::map<ConnectionId, std::string> origins_;  ///< Incarnation of the peer that opened it.
   bool leaving_ = false;
   bool stopped_accepting_ = false;  ///< New requests are refused; the process ends soon.
   BootTime shutdown_end_{};
--- a/Tests/Soak/faults.cc
+++ b/Tests/Soak/faults.cc
@@ -63,7 +63,7 @@
 
 void Faults::Inject() {
   const std::size_t node = random_() % fleet_.Vms().size();
-  switch (random_() % 13) {
+  switch (random_() % 15) {
     case 0:
       Kill(node);
       break;
@@ -98,6 +98,10 @@
     case 11:
       Isolate(node);
       break;
+    case 12:
+    case 13:
+      SilenceConnections();
+      break;
     default:
       if (Chance(0.5)) {
         fleet_.WriteConfiguration();
@@ -237,6 +241,21 @@
              });
 }
 
+// Connections between nodes go silent without an end, while new ones work.
+void Faults::SilenceConnections() {
+  const bool to_node = Chance(0.7);
+  const bool from_node = !to_node || Chance(0.7);
+  for (std::size_t node = 0; node < fleet_.Vms().size(); ++node) {
+    if (Chance(0.5)) {
+      fleet_.SilencePeerConnections(node, to_node, from_node);
+    }
+  }
+  // The nodes take a while to find out, in which callers may wait in vain.
+  BeginFault(std::string("silent connections") + (to_node ? " to" : "") +
+                 (from_node ? " from" : "") + " some nodes",
+             milliseconds(1500), milliseconds(2500), false, [] {});
+}
+
 void Faults::DisruptStore() {
   if (store_disrupted_) {
     return;
--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -33,6 +33,7 @@
   void AwaitExit(std::size_t node, BootTime deadline);
   void DisruptLink(std::size_t node, bool store);
   void Isolate(std::size_t node);
+  void SilenceConnections();
   void DisruptStore();
   void CrashTarget(std::size_t node);
   void ReplaceTarget(std::size_t node);
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -173,6 +173,11 @@
   SetFaults("peer-" + vms_[node].name_, from, faults);
 }
 
+void Fleet::SilencePeerConnections(std::size_t node, bool to_node, bool from_node) {
+  stand_ins::SilenceConnections(proxy_, proxy_.routes_.at("peer-" + vms_[node].name_), to_node,
+                                from_node);
+}
+
 void Fleet::SetStoreFaults(std::size_t node, const stand_ins::ProxyFaults& faults) {
   SetFaults("store-" + vms_[node].name_, 0, faults);
 }
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -50,6 +50,8 @@
   /// Sets the faults on the links to a node from the process `from`, or from all nodes when it is
   /// 0. Default-constructed faults clear them, as in `SetStoreFaults`.
   void SetPeerFaults(std::size_t node, pid_t from, const stand_ins::ProxyFaults& faults);
+  /// Makes all present connections to a node silent for good, in one or both directions.
+  void SilencePeerConnections(std::size_t node, bool to_node, bool from_node);
   /// Sets the faults on a node's link to the store.
   void SetStoreFaults(std::size_t node, const stand_ins::ProxyFaults& faults);
   /// Publishes the configuration under a higher version than before, which is returned.
