--- a/Libraries/LibRouting/forwarded_attempts.cc
+++ b/Libraries/LibRouting/forwarded_attempts.cc
@@ -5,25 +5,29 @@
 namespace sassafrasbay {
 namespace {
 
-/// Time that a sender takes to open a new connection and to send its open attempts again, after
-/// both sides have noticed the loss of the old one.
-constexpr milliseconds kReattachTimeout{500};
+/// Time that a sender takes to open a new connection and to send its open attempts with their
+/// bodies again, after both sides have noticed the loss of the old one.
+constexpr milliseconds kReattachTimeout{1500};
 
 /// Time and memory for which answers are kept for senders that lost them with their connection.
-constexpr milliseconds kAnswerRetention{4000};
+constexpr milliseconds kAnswerRetention{1500};
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 
-void RecordDropped(ForwardedAttempts& table, const AttemptKey& key) {
-  std::uint64_t& dropped = table.dropped_up_to_[key.origin_];
-  dropped = std::max(dropped, key.number_);
+/// No request is sent again after such a time; deadlines are far shorter.
+constexpr milliseconds kDroppedRetention{600'000};
+
+void RecordDropped(ForwardedAttempts& table, const AttemptKey& key, BootTime now) {
+  DroppedAttempts& dropped = table.dropped_[key.origin_];
+  dropped.up_to_ = std::max(dropped.up_to_, key.number_);
+  dropped.newest_at_ = now;
 }
 
-void DropOldestAnswer(ForwardedAttempts& table) {
+void DropOldestAnswer(ForwardedAttempts& table, BootTime now) {
   const AttemptKey& key = table.answered_.front().second;
   const auto found = table.attempts_.find(key);
   if (found != table.attempts_.end() && found->second.answer_) {
     table.answer_bytes_ -= found->second.answer_->size();
-    RecordDropped(table, key);
+    RecordDropped(table, key, now);
     table.attempts_.erase(found);
   }
   table.answered_.pop_front();
@@ -54,9 +58,9 @@
                                  : Arrival{ArrivalKind::kJoined, {}};
   }
   if (sent_before_to) {
-    const auto dropped = table.dropped_up_to_.find(key.origin_);
+    const auto dropped = table.dropped_.find(key.origin_);
     if (*sent_before_to != self ||
-        (dropped != table.dropped_up_to_.end() && key.number_ <= dropped->second)) {
+        (dropped != table.dropped_.end() && key.number_ <= dropped->second.up_to_)) {
       return {ArrivalKind::kUnknown, {}};
     }
   }
@@ -104,6 +108,7 @@
     if (attempt.connection_ == connection) {
       attempt.connection_ = 0;
       attempt.detached_at_ = now;
+      table.detached_ += attempt.answer_ ? 0 : 1;
     }
   }
 }
@@ -111,32 +116,43 @@
 std::vector<std::uint64_t> TakeAbandoned(ForwardedAttempts& table, BootTime now) {
   while (!table.answered_.empty() && (now - table.answered_.front().first > kAnswerRetention ||
                                       table.answer_bytes_ > kMaxAnswerBytes)) {
-    DropOldestAnswer(table);
+    DropOldestAnswer(table, now);
   }
+  std::erase_if(table.dropped_, [now](const auto& entry) {
+    return now - entry.second.newest_at_ > kDroppedRetention;
+  });
   std::vector<std::uint64_t> abandoned;
+  if (table.detached_ == 0) {
+    return abandoned;
+  }
+  table.detached_ = 0;
   std::erase_if(table.attempts_, [&](const auto& entry) {
     const ForwardedAttempt& attempt = entry.second;
-    if (attempt.answer_ || attempt.connection_ != 0 ||
-        now - attempt.detached_at_ < kReattachTimeout) {
+    if (attempt.answer_ || attempt.connection_ != 0) {
+      return false;
+    }
+    if (now - attempt.detached_at_ < kReattachTimeout) {
+      ++table.detached_;
       return false;
     }
     abandoned.push_back(attempt.gate_number_);
-    RecordDropped(table, entry.first);
+    RecordDropped(table, entry.first, now);
     return true;
   });
   return abandoned;
 }
 
-std::vector<std::uint64_t> TakeAttemptsOf(ForwardedAttempts& table, std::string_view origin) {
+std::vector<std::uint64_t> TakeAttemptsOf(ForwardedAttempts& table, std::string_view origin,
+                                          BootTime now) {
   std::vector<std::uint64_t> open;
   std::erase_if(table.attempts_, [&](const auto& entry) {
     if (entry.first.origin_ != origin || entry.second.answer_) {
       return false;
     }
     open.push_back(entry.second.gate_number_);
+    RecordDropped(table, entry.first, now);
     return true;
   });
-  table.dropped_up_to_.erase(std::string(origin));
   return open;
 }
 
--- a/Libraries/LibRouting/forwarded_attempts.h
+++ b/Libraries/LibRouting/forwarded_attempts.h
@@ -30,15 +30,21 @@
   BootTime detached_at_{};             ///< When the connection was lost.
 };
 
+/// Attempts of a sender that are no longer known here.
+struct DroppedAttempts {
+  std::uint64_t up_to_ = 0;
+  BootTime newest_at_{};
+};
+
 /// Attempts that are open, or were answered lately. A sender that has lost its connection sends its
 /// open attempts again, which finds the same runs and answers here.
 struct ForwardedAttempts {
   std::map<AttemptKey, ForwardedAttempt> attempts_;
   std::deque<std::pair<BootTime, AttemptKey>> answered_;  ///< Ascending by time.
   std::size_t answer_bytes_ = 0;
-  /// Highest number whose answer was dropped, by sender. An unknown attempt up to this number may
-  /// have run.
-  std::map<std::string, std::uint64_t> dropped_up_to_;
+  std::size_t detached_ = 0;  ///< Upper bound of the open attempts without a connection.
+  /// Highest number that was dropped, by sender. An unknown attempt up to this number may have run.
+  std::map<std::string, DroppedAttempts> dropped_;
 };
 
 enum class ArrivalKind : std::uint8_t {
@@ -80,7 +86,8 @@
 /// returns their numbers at the gate. Also drops answers that are too old or too many.
 std::vector<std::uint64_t> TakeAbandoned(ForwardedAttempts& table, BootTime now);
 
-/// Removes and returns all open attempts of a process that has ended.
-std::vector<std::uint64_t> TakeAttemptsOf(ForwardedAttempts& table, std::string_view origin);
+/// Removes all open attempts of a process that has ended, and returns their numbers at the gate.
+std::vector<std::uint64_t> TakeAttemptsOf(ForwardedAttempts& table, std::string_view origin,
+                                          BootTime now);
 
 }  // namespace sassafrasbay
--- a/Libraries/LibTransport/connection_liveness.cc
+++ b/Libraries/LibTransport/connection_liveness.cc
@@ -19,16 +19,21 @@
          inputs.confirmation_timeout_;
 }
 
-bool IsUnanswered(const LivenessInputs& inputs) {
-  return inputs.awaiting_since_ &&
-         inputs.now_ - std::max(*inputs.awaiting_since_, inputs.progress_at_) > kAnswerTimeout;
+bool IsUnanswered(const ConnectionLiveness& liveness, const LivenessInputs& inputs) {
+  const auto is_overdue = [&inputs](const std::optional<BootTime>& since) {
+    return since && inputs.now_ - std::max(*since, inputs.progress_at_) > kAnswerTimeout;
+  };
+  return is_overdue(inputs.awaiting_since_) || is_overdue(liveness.requested_at_);
 }
 
 }  // namespace
 
 LivenessAction CheckLiveness(ConnectionLiveness& liveness, const LivenessInputs& inputs) {
+  if (liveness.requested_at_ && inputs.progress_at_ >= *liveness.requested_at_) {
+    liveness.requested_at_.reset();
+  }
   if (!liveness.probed_at_) {
-    if (!IsUnconfirmed(liveness, inputs) && !IsUnanswered(inputs)) {
+    if (!IsUnconfirmed(liveness, inputs) && !IsUnanswered(liveness, inputs)) {
       return LivenessAction::kNone;
     }
     liveness.probed_at_ = inputs.now_;
@@ -43,6 +48,12 @@
   return LivenessAction::kSuspect;
 }
 
+void RecordRequest(ConnectionLiveness& liveness, BootTime now) {
+  if (!liveness.requested_at_) {
+    liveness.requested_at_ = now;
+  }
+}
+
 void ConfirmSent(ConnectionLiveness& liveness, BootTime sent_at) {
   liveness.confirmed_at_ = std::max(liveness.confirmed_at_, sent_at);
 }
--- a/Libraries/LibTransport/connection_liveness.h
+++ b/Libraries/LibTransport/connection_liveness.h
@@ -15,6 +15,8 @@
 struct ConnectionLiveness {
   /// Send time of the newest message on this connection that the peer is known to have received.
   BootTime confirmed_at_{};
+  /// Send time of the first request since bytes last arrived; nothing without one.
+  std::optional<BootTime> requested_at_;
   std::optional<BootTime> probed_at_;  ///< When the probe was sent that has no answer yet.
   milliseconds probe_timeout_ = kMinProbeTimeout;
   bool suspected_ = false;  ///< The probe has timed out.
@@ -25,7 +27,8 @@
   BootTime now_{};
   /// When bytes last arrived, or the peer last made room for bytes that waited for it.
   BootTime progress_at_{};
-  /// Send time of the oldest request on the connection that has no answer; nothing without one.
+  /// Send time of the oldest request on the connection that waits for an answer; nothing without
+  /// one. Requests that were given up are known from RecordRequest.
   std::optional<BootTime> awaiting_since_;
   /// Maximum age of the newest confirmation on a sound connection, and of the last bytes received.
   milliseconds confirmation_timeout_{};
@@ -41,6 +44,9 @@
 /// or unanswered, so that a sound connection costs no messages besides its traffic.
 LivenessAction CheckLiveness(ConnectionLiveness& liveness, const LivenessInputs& inputs);
 
+/// Records that a request is sent on the connection.
+void RecordRequest(ConnectionLiveness& liveness, BootTime now);
+
 /// Records that the peer has received a message that was sent on this connection at that time.
 void ConfirmSent(ConnectionLiveness& liveness, BootTime sent_at);
 
--- a/Services/sassafrasbay/router/peer_links.cc
+++ b/Services/sassafrasbay/router/peer_links.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kReconnectBackoff{100};
 
 /// A connection that lasted as long is opened again without a backoff.
-constexpr milliseconds kMinConnectionTime{1000};
+constexpr milliseconds kMinConnectionTime{200};
 
 /// Interval between the first two trials of a peer that answers on no connection. It doubles with
 /// each trial, since handshakes are work for a VM that is only slow.
@@ -81,8 +81,11 @@
     found->second.connection_ = Connect(address);
     SendIntroduction(found->second.connection_);
   }
-  const ConnectionId connection = found->second.connection_;
-  return network_->Send(connection, EncodeNodeMessage(message)) ? connection : 0;
+  Link& link = found->second;
+  if (std::holds_alternative<ForwardedRequest>(message)) {
+    RecordRequest(link.liveness_, BootClock::now());
+  }
+  return network_->Send(link.connection_, EncodeNodeMessage(message)) ? link.connection_ : 0;
 }
 
 void PeerLinks::Reply(ConnectionId connection, const NodeMessage& message) {
--- a/Services/sassafrasbay/router/traffic_forwarded.cc
+++ b/Services/sassafrasbay/router/traffic_forwarded.cc
@@ -15,8 +15,8 @@
 /// and the next one of the peer confirms it.
 constexpr int kConfirmationIntervals = 3;
 
-/// Added for the checks for due reports and the network delay.
-constexpr milliseconds kConfirmationSlack{250};
+/// Added for the interval between checks, which delays each report, and for the network.
+constexpr milliseconds kConfirmationSlack{500};
 
 /// A connection of a peer on which nothing arrives for so many report intervals is dropped; its
 /// sender is gone, or uses another one.
@@ -29,6 +29,16 @@
 // more: an attempt on it that the sender has sent again, and given up meanwhile, would run later.
 void TrafficThread::OnIntroduction(ConnectionId connection, const Introduction& introduction) {
   IncomingLink& link = incoming_[introduction.address_];
+  // Connections are numbered as they are accepted. An introduction can come late, of a process that
+  // has been replaced by another one.
+  if (connection < link.connection_) {
+    LogInfo(kPart, "peer=" + introduction.address_ +
+                       " incoming=outdated connection=" + std::to_string(connection) +
+                       " newest=" + std::to_string(link.connection_) + ".");
+    links_.DropIncoming(connection);
+    OnIncomingClosed(connection);
+    return;
+  }
   if (link.connection_ != 0 && link.connection_ != connection) {
     LogInfo(kPart, "peer=" + introduction.address_ +
                        " incoming=replaced connection=" + std::to_string(link.connection_) +
@@ -39,7 +49,8 @@
     DetachConnection(attempts_, link.connection_, BootClock::now());
   }
   if (link.incarnation_ != introduction.incarnation_) {
-    for (const UpstreamGate::RequestNumber number : TakeAttemptsOf(attempts_, link.incarnation_)) {
+    for (const UpstreamGate::RequestNumber number :
+         TakeAttemptsOf(attempts_, link.incarnation_, BootClock::now())) {
       gate_.Cancel(number);
     }
   }
--- a/Tests/LibTransport/test_connection_liveness.cc
+++ b/Tests/LibTransport/test_connection_liveness.cc
@@ -56,6 +56,20 @@
   BOOST_TEST((Check(850, 0, 100) == LivenessAction::kProbe));
 }
 
+// Guards against a silent connection that isn't noticed because each request on it ends early, by
+// its deadline or with its caller.
+BOOST_AUTO_TEST_CASE(RequestsThatWereGivenUpCauseAProbe) {
+  RecordRequest(liveness_, At(100));
+  RecordRequest(liveness_, At(600));
+  BOOST_TEST((Check(700, 0) == LivenessAction::kNone));
+  BOOST_TEST((Check(850, 0) == LivenessAction::kProbe));
+  // Any bytes that arrive after it answer for a request.
+  liveness_ = {.confirmed_at_ = kStart};
+  RecordRequest(liveness_, At(100));
+  BOOST_TEST((Check(900, 300) == LivenessAction::kNone));
+  BOOST_TEST(!liveness_.requested_at_.has_value());
+}
+
 // Guards against the loss of running requests of a slow or paused peer: its probe is answered late,
 // which ends the suspicion and allows it more time from then on.
 BOOST_AUTO_TEST_CASE(ALateAnswerEndsTheSuspicion) {
