--- a/Tests/Soak/test_silent_connections.cc
+++ b/Tests/Soak/test_silent_connections.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE SilentConnections
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,11 @@
 constexpr milliseconds kDeadline{800};
 constexpr milliseconds kLongDeadline{12'000};
 
+/// Time from SIGTERM to SIGKILL, as in the fleet's settings.
+constexpr milliseconds kGracePeriod{6000};
+
+constexpr int kGatewayTimeout = 504;
+
 struct Exchange {
   std::string id_;
   int status_ = 0;  ///< 0 while there is no response.
@@ -86,6 +92,25 @@
     BOOST_TEST(ledger_.Violations().empty());
   }
 
+  /// Sends slow requests at a node whose connections then fail, and stops the node.
+  void StopWithOpenRequests(const std::function<void()>& fail_connections) {
+    for (const Vm& vm : fleet_.Vms()) {
+      vm.target_->SetLongWork(milliseconds(2500));
+    }
+    Vm& stopping = fleet_.Vms()[0];
+    for (int i = 0; i < 6; ++i) {
+      Send(stopping, RequestKind::kLong, kLongDeadline);
+    }
+    RunFor(milliseconds(300));
+    fail_connections();
+    stopping.process_->Terminate();
+    const BootTime end = BootClock::now() + kGracePeriod;
+    while (stopping.process_->IsRunning() && BootClock::now() < end) {
+      RunFor(kProbeInterval);
+    }
+    RunFor(milliseconds(100));
+  }
+
   std::vector<Exchange> exchanges_;
 };
 
@@ -128,6 +153,31 @@
   BOOST_TEST(ledger_.Violations().empty());
 }
 
+// Guards against a whole request that gets neither an answer nor a refusal (LOST on
+// kcrw-waxrota-grown): it waits on a connection that has gone silent while its node is stopped, and
+// the process ends.
+BOOST_AUTO_TEST_CASE(AStoppingNodeDeliversAnswersOfSilentConnections) {
+  StopWithOpenRequests([this] { Silence(true, true); });
+  for (const Exchange& exchange : exchanges_) {
+    BOOST_TEST(exchange.status_ == kOk, exchange.id_ << " status " << exchange.status_);
+  }
+}
+
+// Guards against the same where no other connection works either: the caller is told before the
+// process ends.
+BOOST_AUTO_TEST_CASE(AStoppingNodeEndsRequestsOfUnreachableNodes) {
+  StopWithOpenRequests([this] {
+    stand_ins::ProxyFaults cut;
+    cut.cut_to_target_ = cut.cut_from_target_ = true;
+    for (std::size_t node = 0; node < fleet_.Vms().size(); ++node) {
+      fleet_.SetPeerFaults(node, 0, cut);
+    }
+  });
+  for (const Exchange& exchange : exchanges_) {
+    BOOST_TEST(exchange.status_ == kGatewayTimeout, exchange.id_ << " status " << exchange.status_);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
