--- a/Tests/Services/test_peer_links.cc
+++ b/Tests/Services/test_peer_links.cc
@@ -53,7 +53,8 @@
     };
     hooks.on_incoming_closed_ = [](ConnectionId) {};
     hooks.awaited_answers_ = [this] { return awaited_; };
-    BOOST_REQUIRE(links_.Listen(std::move(hooks)).has_value());
+    const Result<void> listening = links_.Listen(std::move(hooks));
+    BOOST_REQUIRE(listening.has_value());
     loop_.StartRepeatingTimer(kCheckInterval,
                               [this] { links_.CheckConnections(kConfirmationTimeout); });
   }
