router: Count positions of the store within their era (CONFIG)

An offset without its history is no position. TopicPosition is now what reads, confirmations, promises, conditions of appends, reports, states and records between nodes carry and compare. An answer of another era is no continuation: the newest records are read anew and replace the known ones as a whole, so that what the copy lacks doesn't stay. Reports name the latest era, so that nodes that read rarely notice within a report interval. An append that is answered in another era than it was decided in counts as not written. Promises count only at the position at which they were given.

--- a/Libraries/LibOwnership/fleet_records.cc
+++ b/Libraries/LibOwnership/fleet_records.cc
@@ -70,9 +70,8 @@
   records.node_records_ = std::move(changed);
 }
 
-std::vector<std::pair<std::string, std::string>> EncodeRecords(const FleetRecords& records) {
-  std::vector<std::pair<std::string, std::string>> encoded(records.node_records_->begin(),
-                                                           records.node_records_->end());
+RecordList EncodeRecords(const FleetRecords& records) {
+  RecordList encoded(records.node_records_->begin(), records.node_records_->end());
   for (const auto& [service, table] : records.tables_) {
     if (table->version_ > 0) {
       encoded.emplace_back(std::string(kTablePrefix) + service, EncodeKeyTable(*table));
--- a/Libraries/LibOwnership/fleet_records.h
+++ b/Libraries/LibOwnership/fleet_records.h
@@ -18,6 +18,9 @@
 inline constexpr std::string_view kTablePrefix = "table/";
 inline constexpr std::string_view kNodePrefix = "node/";
 
+/// Keys and values of records.
+using RecordList = std::vector<std::pair<std::string, std::string>>;
+
 /// Newest records of the topic of the system. Copies are cheap and share what hasn't changed.
 struct FleetRecords {
   std::map<std::string, std::shared_ptr<const KeyTable>, std::less<>> tables_;  ///< By service.
@@ -62,6 +65,6 @@
 
 /// Keys and values of all records, as written to the topic. Tables of version 0, which haven't been
 /// written, are left out.
-std::vector<std::pair<std::string, std::string>> EncodeRecords(const FleetRecords& records);
+RecordList EncodeRecords(const FleetRecords& records);
 
 }  // namespace sassafrasbay
--- a/Libraries/LibOwnership/table_confirmations.cc
+++ b/Libraries/LibOwnership/table_confirmations.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-void Confirm(TableConfirmations& confirmations, std::uint64_t end, BootTime since) {
+void Confirm(TableConfirmations& confirmations, const TopicPosition& end, BootTime since) {
   const auto found = confirmations.since_by_end_.try_emplace(end, since).first;
   found->second = std::max(found->second, since);
   if (confirmations.since_by_end_.size() > kMaxConfirmations) {
@@ -18,11 +18,14 @@
   }
 }
 
-// Tables up to a later offset contain those up to an earlier one, so they were at least as new.
-std::optional<BootTime> ConfirmedSince(const TableConfirmations& confirmations, std::uint64_t end) {
+// Tables up to a later offset of the same era contain those up to an earlier one, so they were at
+// least as new.
+std::optional<BootTime> ConfirmedSince(const TableConfirmations& confirmations,
+                                       const TopicPosition& end) {
   std::optional<BootTime> since;
   for (const auto& [confirmed_end, confirmed_since] : confirmations.since_by_end_) {
-    if (confirmed_end <= end && (!since || confirmed_since > *since)) {
+    const bool is_contained = confirmed_end.era_ == end.era_ && confirmed_end <= end;
+    if (is_contained && (!since || confirmed_since > *since)) {
       since = confirmed_since;
     }
   }
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -40,6 +40,11 @@
   return load;
 }
 
+void WritePosition(Cbor& value, const TopicPosition& position) {
+  value["er"] = position.era_;
+  value["te"] = position.offset_;
+}
+
 std::string Write(const ForwardedRequest& message) {
   Cbor value = Start(Type::kForwardedRequest);
   value["n"] = message.number_;
@@ -99,7 +104,8 @@
   value["ei"] = message.echoed_incarnation_;
   value["tk"] = message.tables_known_;
   value["ta"] = message.tables_age_ms_;
-  value["te"] = message.tables_end_;
+  WritePosition(value, message.tables_end_);
+  value["se"] = message.store_era_;
   value["rs"] = message.reaches_store_;
   value["cv"] = message.configuration_version_;
   if (message.configuration_age_ms_) {
@@ -126,7 +132,7 @@
 std::string Write(const StateTransfer& message) {
   Cbor value = Start(Type::kStateTransfer);
   value["c"] = Bytes(message.configuration_);
-  value["te"] = message.tables_end_;
+  WritePosition(value, message.tables_end_);
   Cbor::array_t records;
   for (const auto& [key, record] : message.records_) {
     records.push_back(Bytes(key));
@@ -138,7 +144,7 @@
 
 std::string Write(const TableRecord& message) {
   Cbor value = Start(Type::kTableRecord);
-  value["o"] = message.offset_;
+  WritePosition(value, message.position_);
   value["k"] = Bytes(message.key_);
   value["co"] = message.changes_only_;
   return SerializeFrame(value, message.value_);
@@ -164,6 +170,13 @@
   return SerializeFrame(value);
 }
 
+TopicPosition ReadPosition(FieldReader& reader) {
+  TopicPosition position;
+  Read(reader, "er", position.era_);
+  Read(reader, "te", position.offset_);
+  return position;
+}
+
 ForwardedRequest ReadForwardedRequest(FieldReader& reader) {
   ForwardedRequest message;
   Read(reader, "n", message.number_);
@@ -219,7 +232,8 @@
   message.echoed_incarnation_ = TakeText(reader, "ei");
   message.tables_known_ = TakeFlag(reader, "tk");
   Read(reader, "ta", message.tables_age_ms_);
-  Read(reader, "te", message.tables_end_);
+  message.tables_end_ = ReadPosition(reader);
+  Read(reader, "se", message.store_era_);
   message.reaches_store_ = TakeFlag(reader, "rs");
   Read(reader, "cv", message.configuration_version_);
   ReadIfPresent(reader, "ca", message.configuration_age_ms_);
@@ -246,7 +260,7 @@
 StateTransfer ReadStateTransfer(FieldReader& reader) {
   StateTransfer message;
   message.configuration_ = TakeBytes(reader, "c");
-  Read(reader, "te", message.tables_end_);
+  message.tables_end_ = ReadPosition(reader);
   const Cbor::array_t records = TakeArray(reader, "rs");
   for (std::size_t i = 0; i + 1 < records.size(); i += 2) {
     message.records_.emplace_back(ToBytes(reader, "rs", records[i]),
@@ -257,7 +271,7 @@
 
 TableRecord ReadTableRecord(FieldReader& reader) {
   TableRecord message;
-  Read(reader, "o", message.offset_);
+  message.position_ = ReadPosition(reader);
   message.key_ = TakeBytes(reader, "k");
   message.value_ = TakeBytes(reader, kBodyField);
   message.changes_only_ = TakeFlag(reader, "co");
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/error.h"
 #include "LibCore/http_message.h"
+#include "LibCore/topic_position.h"
 #include "LibRouting/key_load.h"
 #include "LibRouting/messages.h"
 
@@ -116,8 +117,9 @@
   bool tables_known_ = false;  ///< Whether the next two fields are set.
   /// Time since the sender last verified that its tables were up to date.
   std::uint64_t tables_age_ms_ = 0;
-  std::uint64_t tables_end_ = 0;  ///< Offset up to which the sender has read the topic of tables.
-  bool reaches_store_ = false;    ///< Whether the sender can reach the store.
+  TopicPosition tables_end_;     ///< Position up to which the sender knows the topic of tables.
+  std::uint64_t store_era_ = 0;  ///< Latest era in which the store has answered the sender.
+  bool reaches_store_ = false;   ///< Whether the sender can reach the store.
   std::uint64_t configuration_version_ = 0;
   /// Time since the sender last verified that this version was the newest; nothing if it never did.
   std::optional<std::uint64_t> configuration_age_ms_;
@@ -136,14 +138,14 @@
 /// Configuration and tables for a node whose own are older and that may not reach the store.
 struct StateTransfer {
   std::string configuration_;  ///< Text of the configuration as published by the operator.
-  std::uint64_t tables_end_ = 0;
+  TopicPosition tables_end_;
   /// Keys and values of the newest records of the topic.
   std::vector<std::pair<std::string, std::string>> records_;
 };
 
 /// A record that the sender has written to the topic of tables.
 struct TableRecord {
-  std::uint64_t offset_ = 0;
+  TopicPosition position_;
   std::string key_;
   std::string value_;
   /// The value holds only the ranges that differ from the previous version of the table.
--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -76,7 +76,8 @@
 
 milliseconds ControlThread::ConfigurationAge() const {
   const auto since =
-      shared_.configuration_confirmations_.Since(ConfigurationVersion()).value_or(started_);
+      shared_.configuration_confirmations_.Since(ConfigurationPosition(ConfigurationVersion()))
+          .value_or(started_);
   return std::chrono::duration_cast<milliseconds>(BootClock::now() - since);
 }
 
@@ -86,7 +87,7 @@
   const std::uint64_t version = report.configuration_version_;
   if (echoed && version == ConfigurationVersion() && report.configuration_age_ms_) {
     if (const auto since = TimeBefore(*echoed, *report.configuration_age_ms_)) {
-      shared_.configuration_confirmations_.Confirm(version, *since);
+      shared_.configuration_confirmations_.Confirm(ConfigurationPosition(version), *since);
     }
   }
   const auto is_in_force = [this, version] { return ConfigurationVersion() >= version; };
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -135,7 +135,8 @@
     return answer;
   }
   const std::vector<std::string> others = OtherNodes();
-  const BootTime base = GrantReferenceTime(TablesConfirmedSince(), received_promises_, others);
+  const BootTime base =
+      GrantReferenceTime(TablesConfirmedSince(), fleet_topic_.End(), received_promises_, others);
   return DecideHeartbeatAnswer(*table, MakeView(table->service_), base,
                                shared_.environment_.max_grant_duration_);
 }
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -50,7 +50,6 @@
   received_promises_.erase(address);
   if (address == shared_.self_) {
     registered_at_.reset();
-    registration_pending_ = false;
   }
 }
 
@@ -58,18 +57,20 @@
 // conditional on the end of the topic, which the registration moves: once it has been read back,
 // none of them can take effect.
 void ControlThread::Register() {
-  if (registered_at_ || registration_pending_ || !fleet_topic_.IsCurrent() ||
-      !fleet_topic_.IsStoreReachable()) {
+  const bool awaits_own_record = registered_up_to_ && fleet_topic_.End() < *registered_up_to_;
+  if (registered_at_ || registration_pending_ || awaits_own_record ||
+      !fleet_topic_.IsOfNewestEra() || !fleet_topic_.IsStoreReachable()) {
     return;
   }
   registration_pending_ = true;
   AppendOwnRecord([this](const Result<TopicPosition>& position) {
+    registration_pending_ = false;
     if (position) {
+      registered_up_to_ = {position.value().era_, position.value().offset_ + 1};
       // Registrations of other nodes may precede this record.
       fleet_topic_.ReadNow();
       return;
     }
-    registration_pending_ = false;
     LogWarning(kPart, "registration not written reason=\"" + ToString(position.error()) + "\".");
   });
 }
@@ -77,13 +78,14 @@
 void ControlThread::AppendOwnRecord(std::function<void(const Result<TopicPosition>&)> done) {
   const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
                            EncodeNodeRecord(OwnRecord())};
-  store_.Append(kFleetTopic, {&record, 1}, std::nullopt,
-                [this, record, done = std::move(done)](const Result<TopicPosition>& position) {
-                  if (position) {
-                    OnWritten({position.value().offset_, record.key_, record.value_});
-                  }
-                  done(position);
-                });
+  store_.Append(
+      kFleetTopic, {&record, 1}, std::nullopt,
+      [this, record, done = std::move(done)](const Result<TopicPosition>& position) {
+        if (position) {
+          OnWritten({position.value().offset_, record.key_, record.value_}, position.value().era_);
+        }
+        done(position);
+      });
 }
 
 // What an earlier process has recorded of a leaving upstream is kept, as a heartbeat from before
@@ -148,7 +150,7 @@
 void ControlThread::RemoveLostNode() {
   const BootTime now = BootClock::now();
   if (removal_pending_ || !registered_at_ || !fleet_topic_.IsStoreReachable() ||
-      now - *registered_at_ < kNodeRemovalTimeout) {
+      !fleet_topic_.IsOfNewestEra() || now - *registered_at_ < kNodeRemovalTimeout) {
     return;
   }
   std::string lost_node;
@@ -176,13 +178,14 @@
   LogInfo(kPart, "node=" + lost_node +
                      " is removed from the node list; no report within the removal timeout.");
   const KeyedRecord record{0, std::string(kNodePrefix) + lost_node, {}};
-  store_.Append(kFleetTopic, {&record, 1}, fleet_topic_.End(),
-                [this, record](const Result<TopicPosition>& position) {
-                  removal_pending_ = false;
-                  if (position) {
-                    OnWritten({position.value().offset_, record.key_, record.value_});
-                  }
-                });
+  store_.Append(
+      kFleetTopic, {&record, 1}, fleet_topic_.End().offset_,
+      [this, record](const Result<TopicPosition>& position) {
+        removal_pending_ = false;
+        if (position) {
+          OnWritten({position.value().offset_, record.key_, record.value_}, position.value().era_);
+        }
+      });
 }
 
 bool ControlThread::OwnsKeys(const std::string& address) const {
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -53,16 +53,23 @@
       operator_topic_(loop_, store_, std::string(platform::kOperatorTopic), kJoiningReadSchedule,
                       {[this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        [this](BootTime, BootTime answered_at) {
-                         shared_.configuration_confirmations_.Confirm(ConfigurationVersion(),
-                                                                      answered_at);
+                         shared_.configuration_confirmations_.Confirm(
+                             ConfigurationPosition(ConfigurationVersion()), answered_at);
                        },
-                       [](bool) {}}),
+                       [](bool) {},
+                       {},
+                       {}}),
       fleet_topic_(loop_, store_, std::string(kFleetTopic), kJoiningReadSchedule,
                    {[this](const KeyedRecord& record) { OnFleetRecord(record); },
                     [this](BootTime requested_at, BootTime) { OnTablesCurrent(requested_at); },
-                    [this](bool reached) { shared_.reaches_store_ = reached; }}),
-      key_table_writer_(store_, shared_.promises_,
-                        [this](const KeyedRecord& record) { OnWritten(record); }) {
+                    [this](bool reached) { shared_.reaches_store_ = reached; },
+                    [this](const HistoryCandidate& history) {
+                      ReplaceRecords({history.records_.begin(), history.records_.end()});
+                    },
+                    {}}),
+      key_table_writer_(
+          store_, shared_.promises_,
+          [this](const KeyedRecord& record, std::uint64_t era) { OnWritten(record, era); }) {
   registry_.self_ = shared_.self_;
 }
 
@@ -128,8 +135,8 @@
   return callbacks;
 }
 
-void ControlThread::OnWritten(const KeyedRecord& record) {
-  TableRecord message{record.offset_, record.key_, record.value_};
+void ControlThread::OnWritten(const KeyedRecord& record, std::uint64_t era) {
+  TableRecord message{{era, record.offset_}, record.key_, record.value_};
   if (record.key_.starts_with(kTablePrefix)) {
     const Result<KeyTable> table = DecodeKeyTable(record.value_);
     const KeyTable* known = table ? FindTable(records_, table.value().service_) : nullptr;
@@ -139,14 +146,15 @@
     }
   }
   traffic_.broadcast_(std::move(message));
-  fleet_topic_.Push(record);
+  fleet_topic_.Push(record, era);
 }
 
 // A record that doesn't continue the known records is dropped; the next reports show that it is
 // missing, and it is read from the store.
 void ControlThread::OnPeerRecord(const TableRecord& message) {
   if (!message.changes_only_) {
-    fleet_topic_.Push({message.offset_, message.key_, message.value_});
+    fleet_topic_.Push({message.position_.offset_, message.key_, message.value_},
+                      message.position_.era_);
     return;
   }
   const Result<KeyTable> changes = DecodeKeyTable(message.value_);
@@ -157,11 +165,34 @@
   }
   const KeyTable* known = FindTable(records_, changes.value().service_);
   auto table = known == nullptr ? std::nullopt : ApplyChanges(*known, changes.value());
-  if (table && fleet_topic_.Advance(message.offset_)) {
+  if (table && fleet_topic_.Advance(message.position_)) {
     ApplyTable(std::move(*table));
   }
 }
 
+// Records that are missing in `records` have been removed since, or were lost with their history.
+void ControlThread::ReplaceRecords(const RecordList& records) {
+  std::set<std::string> keys;
+  for (const auto& [key, value] : records) {
+    keys.insert(key);
+  }
+  const FleetRecords before = std::exchange(records_, {});
+  for (const auto& [key, value] : *before.node_records_) {
+    if (!keys.contains(key)) {
+      OnNodeRemoved(key.substr(kNodePrefix.size()));
+    }
+  }
+  for (const auto& [service, table] : before.tables_) {
+    if (keys.contains(std::string(kTablePrefix) + service)) {
+      SetTable(records_, *table);
+    }
+  }
+  for (const auto& [key, value] : records) {
+    OnFleetRecord({0, key, value});
+  }
+  ScheduleUpdate();
+}
+
 void ControlThread::OnFleetRecord(const KeyedRecord& record) {
   if (record.key_.starts_with(kNodePrefix)) {
     OnNodeRecord(record);
@@ -220,7 +251,10 @@
     OnLeavingUpstream(*record.leaving_, BootClock::now() - shared_.environment_.drain_limit_,
                       "store");
   }
-  if (record.incarnation_id_ == shared_.incarnation_id_ && !registered_at_) {
+  if (record.incarnation_id_ != shared_.incarnation_id_) {
+    // Written by an earlier process: late, or its store was restored.
+    registered_at_.reset();
+  } else if (!registered_at_) {
     registered_at_ = BootClock::now();
   }
 }
@@ -255,12 +289,16 @@
       ConfirmTables(*since);
     }
   }
-  // A sender with newer tables may already have taken ranges over.
-  if (echoed && report.promises_ && report.tables_end_ <= fleet_topic_.End()) {
-    BootTime& received = received_promises_[report.address_];
-    received = std::max(received, *echoed);
+  if (echoed && report.promises_) {
+    ReceivedPromise& received = received_promises_[report.address_];
+    const bool same_tables = received.tables_end_ == report.tables_end_;
+    received = {same_tables ? std::max(received.since_, *echoed) : *echoed, report.tables_end_};
   }
-  if (report.tables_end_ > fleet_topic_.End()) {
+  fleet_topic_.ReadUnlessEraKnown(report.store_era_);
+  operator_topic_.ReadUnlessEraKnown(report.store_era_);
+  // The store no longer has the records of an earlier era.
+  if (report.tables_end_ > fleet_topic_.End() &&
+      report.tables_end_.era_ >= fleet_topic_.NewestEra()) {
     fleet_topic_.ReadUnlessKnown(
         MaxReplicationLag(members_.size()),
         [this, end = report.tables_end_] { return fleet_topic_.End() >= end; });
@@ -291,11 +329,9 @@
   if (state.tables_end_ <= fleet_topic_.End()) {
     return;
   }
-  LogInfo(kPart, "tables end=" + std::to_string(state.tables_end_) +
-                     " from=" + std::to_string(fleet_topic_.End()) + " source=peer.");
-  for (const auto& [key, value] : state.records_) {
-    OnFleetRecord({0, key, value});
-  }
+  LogInfo(kPart, "tables end=" + ToString(state.tables_end_) +
+                     " from=" + ToString(fleet_topic_.End()) + " source=peer.");
+  ReplaceRecords(state.records_);
   fleet_topic_.SkipTo(state.tables_end_);
 }
 
@@ -308,7 +344,7 @@
   view.registered_ = registered_at_;
   view.newest_born_ms_ = ConfirmedBornMs(registry_);
   view.reaches_store_ = registered_at_ && fleet_topic_.IsStoreReachable() &&
-                        view.now_ - confirmed < kMaxConfirmationAge;
+                        fleet_topic_.IsOfNewestEra() && view.now_ - confirmed < kMaxConfirmationAge;
   if (registry_.newest_ && registry_.newest_->service_ == service) {
     view.local_upstream_ = registry_.local_upstream_;
   }
@@ -382,6 +418,7 @@
   snapshot->configuration_text_ = configuration_text_;
   snapshot->records_ = records_;
   snapshot->tables_end_ = fleet_topic_.End();
+  snapshot->store_era_ = std::max(fleet_topic_.NewestEra(), operator_topic_.NewestEra());
   snapshot->registered_ = registered_at_.has_value();
   snapshot->readers_ = readers_;
   for (const auto& [address, member] : members_) {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -79,6 +79,8 @@
   /// Reads the store when it is too long ago that the configuration was verified.
   void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
+  /// Replaces all known records by the newest ones of the topic.
+  void ReplaceRecords(const RecordList& records);
   void OnNodeRecord(const KeyedRecord& record);
   void OnOwnRecord(const NodeRecord& record);
   /// Replaces the known table of the service by a newer one.
@@ -120,7 +122,7 @@
   milliseconds NodeTimeout() const {
     return SuspicionTimeout(std::max<std::size_t>(1, members_.size()));
   }
-  void OnWritten(const KeyedRecord& record);
+  void OnWritten(const KeyedRecord& record, std::uint64_t era);
   void OnPeerRecord(const TableRecord& message);
   void Register();
   NodeRecord OwnRecord() const;
@@ -143,7 +145,9 @@
   bool removal_pending_ = false;
   std::set<std::string> readers_;  ///< Peer addresses of the nodes that follow the store.
   ReceivedPromises received_promises_;
-  bool registration_pending_ = false;
+  bool registration_pending_ = false;  ///< Its append is in progress.
+  /// Position behind the last registration that the store has acknowledged.
+  std::optional<TopicPosition> registered_up_to_;
   BootTime started_{};
   std::shared_ptr<const RouteTable> routes_;
   std::shared_ptr<const std::string> configuration_text_;
--- a/Services/sassafrasbay/router/key_table_writer.cc
+++ b/Services/sassafrasbay/router/key_table_writer.cc
@@ -19,11 +19,12 @@
 
 }  // namespace
 
-KeyTableWriter::KeyTableWriter(RecordStore& store, SharedPromises& promises,
-                               std::function<void(const KeyedRecord&)> on_written)
+KeyTableWriter::KeyTableWriter(
+    RecordStore& store, SharedPromises& promises,
+    std::function<void(const KeyedRecord&, std::uint64_t era)> on_written)
     : store_(store), promises_(promises), on_written_(std::move(on_written)) {}
 
-void KeyTableWriter::Decide(const KeyTable& table, std::uint64_t end, OwnershipView view) {
+void KeyTableWriter::Decide(const KeyTable& table, const TopicPosition& end, OwnershipView view) {
   if (in_flight_ || view.now_ < backoff_until_) {
     return;
   }
@@ -46,9 +47,9 @@
     }
   }
   LogInfo(kPart, "service=" + table.service_ + " base_version=" + std::to_string(table.version_) +
-                     " at=" + std::to_string(end) +
-                     " nodes=" + std::to_string(view.reachable_nodes_) + "/" +
-                     std::to_string(view.known_nodes_) + " change=\"" + change->reason_ + "\".");
+                     " at=" + ToString(end) + " nodes=" + std::to_string(view.reachable_nodes_) +
+                     "/" + std::to_string(view.known_nodes_) + " change=\"" + change->reason_ +
+                     "\".");
   if (!change->moves_.empty()) {
     last_balance_ = view.now_;
     for (const PlannedMove& move : change->moves_) {
@@ -62,18 +63,26 @@
   decided_at_ = view.now_;
   const KeyedRecord record{0, std::string(kTablePrefix) + table.service_,
                            EncodeKeyTable(change->table_)};
-  store_.Append(kFleetTopic, {&record, 1}, end,
-                [this, record, reason = change->reason_](Result<TopicPosition> position) {
-                  OnAppendResult(reason, record, std::move(position));
+  store_.Append(kFleetTopic, {&record, 1}, end.offset_,
+                [this, record, era = end.era_,
+                 reason = change->reason_](const Result<TopicPosition>& position) {
+                  OnAppendResult(reason, record, era, position);
                 });
 }
 
 void KeyTableWriter::OnAppendResult(const std::string& reason, KeyedRecord record,
-                                    Result<TopicPosition> position) {
+                                    std::uint64_t era, const Result<TopicPosition>& position) {
   in_flight_ = false;
-  if (position) {
+  if (position && position.value().era_ == era) {
     record.offset_ = position.value().offset_;
-    on_written_(record);
+    on_written_(record, era);
+    return;
+  }
+  // The store was restored, and its topic ends where the former one ended when this was decided.
+  if (position) {
+    backoff_until_ = decided_at_ + kFailureBackoff;
+    LogWarning(kPart, "change=\"" + reason + "\" was decided in era " + std::to_string(era) +
+                          " and written at " + ToString(position.value()) + "; not in force.");
     return;
   }
   const bool conflict = position.error().code_ == make_error_code(Errc::kConflict);
--- a/Services/sassafrasbay/router/request_outcomes.cc
+++ b/Services/sassafrasbay/router/request_outcomes.cc
@@ -299,7 +299,7 @@
               " service=" + pending.service_ + " key=" + key + " node=" + pending.node_ + " sent=" +
               std::to_string(pending.sent_) + " refusals=" + std::to_string(pending.refusals_) +
               " configuration=" + std::to_string(pending.routes_->version_) +
-              " tables_end=" + std::to_string(snapshot_->tables_end_) + " ms=" +
+              " tables_end=" + ToString(snapshot_->tables_end_) + " ms=" +
               std::to_string(static_cast<int>(took_ms)) + " late=" + (late ? "true" : "false") +
               " status=" + std::to_string(status) + " outcome=" + std::string(outcome) + ".");
 }
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -55,7 +55,8 @@
   /// Text of the configuration, for other nodes; null without one.
   std::shared_ptr<const std::string> configuration_text_;
   FleetRecords records_;
-  std::uint64_t tables_end_ = 0;
+  TopicPosition tables_end_;
+  std::uint64_t store_era_ = 0;    ///< Latest era in which the store has answered.
   bool registered_ = false;        ///< The registration of this process has been read back.
   std::vector<Member> members_;    ///< All but this node.
   std::set<std::string> readers_;  ///< Peer addresses of the nodes that follow the store.
--- a/Services/sassafrasbay/router/shared_confirmations.h
+++ b/Services/sassafrasbay/router/shared_confirmations.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <mutex>
 #include <optional>
 
@@ -8,17 +7,21 @@
 
 namespace sassafrasbay {
 
-/// Confirmations of the key tables or of the configuration, whose versions take the place of the
-/// offsets: the control thread records them, the traffic thread reports them together with the
-/// state that it knows, which may be older. Thread-safe.
+/// Position that stands for a version of the configuration. Versions count on when the store is
+/// restored.
+inline TopicPosition ConfigurationPosition(std::uint64_t version) { return {0, version}; }
+
+/// Confirmations of the key tables, or of the configuration by ConfigurationPosition(): the control
+/// thread records them, the traffic thread reports them together with the state that it knows,
+/// which may be older. Thread-safe.
 class SharedConfirmations {
  public:
-  void Confirm(std::uint64_t end, BootTime since) {
+  void Confirm(const TopicPosition& end, BootTime since) {
     const std::lock_guard lock(mutex_);
     sassafrasbay::Confirm(confirmations_, end, since);
   }
 
-  std::optional<BootTime> Since(std::uint64_t end) const {
+  std::optional<BootTime> Since(const TopicPosition& end) const {
     const std::lock_guard lock(mutex_);
     return ConfirmedSince(confirmations_, end);
   }
--- a/Services/sassafrasbay/router/shared_promises.h
+++ b/Services/sassafrasbay/router/shared_promises.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -23,12 +22,12 @@
     return promises_.given_until_;
   }
 
-  bool Withhold(const std::string& owner_node, std::uint64_t offset, BootTime now) {
+  bool Withhold(const std::string& owner_node, const TopicPosition& position, BootTime now) {
     const std::lock_guard lock(mutex_);
-    return sassafrasbay::Withhold(promises_, owner_node, offset, now);
+    return sassafrasbay::Withhold(promises_, owner_node, position, now);
   }
 
-  void Resolve(std::uint64_t end) {
+  void Resolve(const TopicPosition& end) {
     const std::lock_guard lock(mutex_);
     ResolveWithheld(promises_, end);
   }
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -31,12 +31,16 @@
 
 void TopicFollower::Start() { ReadNewest(); }
 
-void TopicFollower::SkipTo(std::uint64_t end) {
+void TopicFollower::SkipTo(const TopicPosition& end) {
   if (current_ && end <= end_) {
     return;
   }
   end_ = end;
   current_ = true;
+  if (candidate_ && candidate_->end_.era_ <= end.era_) {
+    candidate_.reset();
+  }
+  needs_newest_ = needs_newest_ && end.era_ < newest_era_;
   ReadNow();
 }
 
@@ -51,16 +55,16 @@
   }
 }
 
-bool TopicFollower::Advance(std::uint64_t offset) {
-  if (!current_ || offset != end_) {
+bool TopicFollower::Advance(const TopicPosition& position) {
+  if (!current_ || position != end_) {
     return false;
   }
-  ++end_;
+  ++end_.offset_;
   return true;
 }
 
-bool TopicFollower::Push(const KeyedRecord& record) {
-  if (!Advance(record.offset_)) {
+bool TopicFollower::Push(const KeyedRecord& record, std::uint64_t era) {
+  if (!Advance({era, record.offset_})) {
     return false;
   }
   hooks_.on_record_(record);
@@ -70,11 +74,15 @@
 void TopicFollower::ReadNow() {
   loop_.CancelTimer(timer_);
   timer_ = 0;
-  if (current_) {
-    ReadNext(milliseconds(0));
-  } else {
+  ContinueReading(milliseconds(0));
+}
+
+void TopicFollower::ContinueReading(milliseconds wait) {
+  if (needs_newest_) {
     ReadNewest();
+    return;
   }
+  ReadNext(wait);
 }
 
 bool TopicFollower::ReadUnlessPending() {
@@ -97,6 +105,12 @@
   });
 }
 
+void TopicFollower::ReadUnlessEraKnown(std::uint64_t era) {
+  if (era > newest_era_) {
+    ReadUnlessKnown(milliseconds(0), [this, era] { return era <= newest_era_; });
+  }
+}
+
 void TopicFollower::ReadNewest() {
   const std::uint64_t read_number = ++read_number_;
   immediate_read_pending_ = true;
@@ -110,9 +124,10 @@
   const std::uint64_t read_number = ++read_number_;
   immediate_read_pending_ = wait.count() == 0;
   const BootTime requested_at = BootClock::now();
-  store_.Read(topic_, end_, wait, [this, read_number, requested_at](Result<RecordBatch> batch) {
-    OnBatch(read_number, requested_at, std::move(batch), false);
-  });
+  store_.Read(topic_, ReadPosition().offset_, wait,
+              [this, read_number, requested_at](Result<RecordBatch> batch) {
+                OnBatch(read_number, requested_at, std::move(batch), false);
+              });
 }
 
 void TopicFollower::OnBatch(std::uint64_t read_number, BootTime requested_at,
@@ -122,34 +137,38 @@
   }
   immediate_read_pending_ = false;
   if (!batch) {
-    if (batch.error().code_ == make_error_code(Errc::kTruncated)) {
-      LogInfo(kPart, "topic=" + topic_ + " offset=" + std::to_string(end_) +
-                         " is no longer retained; reading the newest records.");
-      current_ = false;
-      ReadNewest();
-      return;
-    }
-    ScheduleRetry(batch.error());
+    OnReadError(batch.error());
+    return;
+  }
+  if (batch.value().era_ < newest_era_) {
+    ScheduleRetry(MakeError(Errc::kUnavailable, "read records", {},
+                            "era " + std::to_string(batch.value().era_) + " is over"));
     return;
   }
   consecutive_failures_ = 0;
   SetReached(true, {});
-  LogEra(batch.value());
-  for (const KeyedRecord& record : batch.value().records_) {
-    // Another node passed on the records below the end while this read was in progress.
-    if (newest || record.offset_ >= end_) {
-      end_ = newest ? end_ : record.offset_ + 1;
-      hooks_.on_record_(record);
-    }
+  OnEra(batch.value());
+  // The records of another history don't follow those that are known, whatever their offsets.
+  if (!newest && batch.value().era_ != ReadPosition().era_) {
+    needs_newest_ = true;
+    ReadNewest();
+    return;
   }
   if (newest) {
-    end_ = batch.value().end_;
+    TakeNewest(batch.value());
+  } else {
+    TakeNext(batch.value());
   }
-  current_ = true;
   // The newest records aren't a consistent snapshot, and a batch may end before the topic does. A
   // further read without a long poll returns what is missing.
-  const bool complete = !newest && end_ >= batch.value().end_;
-  if (complete) {
+  const bool complete = !newest && ReadPosition().offset_ >= batch.value().end_;
+  if (complete && candidate_ && (!hooks_.may_replace_ || hooks_.may_replace_(*candidate_))) {
+    const HistoryCandidate replacement = *std::exchange(candidate_, std::nullopt);
+    end_ = replacement.end_;
+    current_ = true;
+    hooks_.on_replaced_(replacement);
+  }
+  if (complete && !candidate_) {
     hooks_.on_current_(requested_at, BootClock::now());
   }
   const bool long_poll_expired =
@@ -161,24 +180,69 @@
   ReadNext(complete ? read_schedule_.wait_timeout_ : milliseconds(0));
 }
 
-void TopicFollower::LogEra(const RecordBatch& batch) {
-  if (batch.era_ == era_) {
+void TopicFollower::OnReadError(const Error& error) {
+  if (error.code_ != make_error_code(Errc::kTruncated)) {
+    ScheduleRetry(error);
     return;
   }
-  LogInfo(kPart, "topic=" + topic_ + " era=" + std::to_string(batch.era_) + " before=" +
-                     std::to_string(era_) + " store_end=" + std::to_string(batch.end_) +
-                     " end=" + std::to_string(end_) + ".");
-  era_ = batch.era_;
+  LogInfo(kPart, "topic=" + topic_ + " offset=" + ToString(ReadPosition()) +
+                     " is not retained; reading the newest records.");
+  candidate_.reset();
+  needs_newest_ = true;
+  ReadNewest();
+}
+
+void TopicFollower::OnEra(const RecordBatch& batch) {
+  if (batch.era_ == newest_era_) {
+    return;
+  }
+  LogInfo(kPart, "topic=" + topic_ + " era=" + std::to_string(batch.era_) +
+                     " before=" + std::to_string(newest_era_) +
+                     " store_end=" + std::to_string(batch.end_) + " end=" + ToString(end_) + ".");
+  newest_era_ = batch.era_;
+}
+
+void TopicFollower::TakeNewest(const RecordBatch& batch) {
+  needs_newest_ = false;
+  const TopicPosition end{batch.era_, batch.end_};
+  if (hooks_.on_replaced_) {
+    candidate_ = HistoryCandidate{end, {}};
+    for (const KeyedRecord& record : batch.records_) {
+      candidate_->records_[record.key_] = record.value_;
+    }
+    return;
+  }
+  for (const KeyedRecord& record : batch.records_) {
+    hooks_.on_record_(record);
+  }
+  end_ = end;
+  current_ = true;
+}
+
+void TopicFollower::TakeNext(const RecordBatch& batch) {
+  for (const KeyedRecord& record : batch.records_) {
+    // Another node passed on the records below the end while this read was in progress.
+    if (record.offset_ < ReadPosition().offset_) {
+      continue;
+    }
+    if (!candidate_) {
+      end_.offset_ = record.offset_ + 1;
+      hooks_.on_record_(record);
+      continue;
+    }
+    candidate_->end_.offset_ = record.offset_ + 1;
+    if (record.value_.empty()) {
+      candidate_->records_.erase(record.key_);
+    } else {
+      candidate_->records_[record.key_] = record.value_;
+    }
+  }
 }
 
 void TopicFollower::ScheduleRead(milliseconds delay) {
   timer_ = loop_.StartTimer(delay, [this] {
     timer_ = 0;
-    if (!current_) {
-      ReadNewest();
-      return;
-    }
-    ReadNext(consecutive_failures_ > 0 ? milliseconds(0) : read_schedule_.wait_timeout_);
+    ContinueReading(consecutive_failures_ > 0 ? milliseconds(0) : read_schedule_.wait_timeout_);
   });
 }
 
@@ -195,7 +259,7 @@
     return;
   }
   is_store_reachable_ = reached;
-  LogInfo(kPart, "topic=" + topic_ + " end=" + std::to_string(end_) +
+  LogInfo(kPart, "topic=" + topic_ + " end=" + ToString(end_) +
                      (reached ? " store=reached." : " store=lost reason=\"") +
                      (reached ? "" : std::string(reason) + "\"."));
   hooks_.on_reachability_changed_(reached);
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -253,13 +253,14 @@
     return report;
   }
   report.tables_end_ = snapshot_->tables_end_;
+  report.store_era_ = snapshot_->store_era_;
   if (const auto since = shared_.confirmations_.Since(snapshot_->tables_end_)) {
     report.tables_known_ = true;
     report.tables_age_ms_ = AgeMilliseconds(*since);
   }
   report.configuration_version_ = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
-  if (const auto since =
-          shared_.configuration_confirmations_.Since(report.configuration_version_)) {
+  if (const auto since = shared_.configuration_confirmations_.Since(
+          ConfigurationPosition(report.configuration_version_))) {
     report.configuration_age_ms_ = AgeMilliseconds(*since);
   }
   if (snapshot_->upstream_ != nullptr) {
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -110,8 +110,8 @@
   node.promises_ = std::make_unique<SharedPromises>();
   node.registered_.reset();
   node.received_promises_.clear();
-  node.key_table_writer_ =
-      std::make_unique<KeyTableWriter>(store_, *node.promises_, [](const KeyedRecord&) {});
+  node.key_table_writer_ = std::make_unique<KeyTableWriter>(
+      store_, *node.promises_, [](const KeyedRecord&, std::uint64_t) {});
 }
 
 std::string OwnershipModel::Run(milliseconds duration) {
@@ -213,9 +213,8 @@
     node.confirmed_ = std::max(node.confirmed_, other.confirmed_ - (now_ - echoed));
   }
   const bool promises = other.registered_ && other.promises_->Give(node.address_, now_);
-  if (promises && other.read_to_ <= node.read_to_) {
-    BootTime& received = node.received_promises_[other.address_];
-    received = std::max(received, echoed);
+  if (promises) {
+    node.received_promises_[other.address_] = {echoed, {0, other.read_to_}};
   }
 }
 
@@ -270,13 +269,13 @@
       node.read_to_ >= node.registration_offset_) {
     node.registered_ = now_;
   }
-  node.promises_->Resolve(node.read_to_);
+  node.promises_->Resolve({0, node.read_to_});
   if (now_ < node.next_decision_ || node.registration_offset_ == 0 ||
       node.read_to_ < node.registration_offset_) {
     return;
   }
   node.next_decision_ = now_ + milliseconds(100);
-  node.key_table_writer_->Decide(node.table_, node.read_to_, MakeView(node));
+  node.key_table_writer_->Decide(node.table_, {0, node.read_to_}, MakeView(node));
 }
 
 void OwnershipModel::SendHeartbeat(ModelNode& node) {
@@ -304,7 +303,8 @@
   }
   answer = DecideHeartbeatAnswer(
       node.table_, MakeView(node),
-      GrantReferenceTime(node.confirmed_, node.received_promises_, others), milliseconds(10'000));
+      GrantReferenceTime(node.confirmed_, {0, node.read_to_}, node.received_promises_, others),
+      milliseconds(10'000));
   RecordGrant(node.registry_, answer, now_);
   node.answers_in_transit_.push_back(
       {now_ + (RandomChance(0.1) ? RandomDuration(0, 900) : milliseconds(0)), now_,
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -124,7 +124,9 @@
                        loop_.Stop();
                      }
                    },
-                   [this](bool reached) { reached_.push_back(reached); }}) {}
+                   [this](bool reached) { reached_.push_back(reached); },
+                   {},
+                   {}}) {}
 
   void RunUntil(std::function<bool()> condition) {
     until_ = std::move(condition);
@@ -145,7 +147,7 @@
   loop_.StartTimer(milliseconds(100), [this] { server_.Append("keyed.t", "b", "2"); });
   RunUntil([this] { return seen_.contains("b"); });
   BOOST_TEST(seen_["a"] == "1");
-  BOOST_TEST(follower_.End() == 2);
+  BOOST_TEST((follower_.End() == TopicPosition{1, 2}));
 }
 
 // Guards against missed records when a node is partitioned for longer than records are retained.
@@ -160,7 +162,7 @@
     server_.fault_ = StoreFault::kNone;
   });
   RunUntil([this] { return seen_["a"] == "9"; });
-  BOOST_TEST(follower_.End() == 10);
+  BOOST_TEST((follower_.End() == TopicPosition{1, 10}));
   BOOST_REQUIRE(reached_.size() == 3);
   BOOST_TEST(!reached_[1]);
   BOOST_TEST(reached_[2]);
@@ -178,7 +180,7 @@
     follower_.ReadNow();
   });
   RunUntil([this] { return seen_.contains("a"); });
-  BOOST_TEST(follower_.End() == 1);
+  BOOST_TEST((follower_.End() == TopicPosition{1, 1}));
 }
 
 // Guards against gaps, and against a record being applied both from another node and from the
@@ -186,15 +188,15 @@
 BOOST_AUTO_TEST_CASE(PushedRecordIsDeliveredOnce) {
   follower_.Start();
   RunUntil([] { return true; });
-  BOOST_TEST(!follower_.Push({1, "b", "2"}));
-  BOOST_TEST(follower_.Push({0, "a", "1"}));
-  BOOST_TEST(follower_.End() == 1);
-  BOOST_TEST(!follower_.Push({0, "a", "0"}));
+  BOOST_TEST(!follower_.Push({1, "b", "2"}, 1));
+  BOOST_TEST(follower_.Push({0, "a", "1"}, 1));
+  BOOST_TEST((follower_.End() == TopicPosition{1, 1}));
+  BOOST_TEST(!follower_.Push({0, "a", "0"}, 1));
   server_.Append("keyed.t", "a", "1");
   server_.Append("keyed.t", "b", "2");
   RunUntil([this] { return seen_.contains("b"); });
   BOOST_TEST(seen_["a"] == "1");
-  BOOST_TEST(follower_.End() == 2);
+  BOOST_TEST((follower_.End() == TopicPosition{1, 2}));
 }
 
 // Guards against a record that is never read (CONFIG): the store is restored from an older copy
