--- a/Libraries/LibOwnership/fleet_records.cc
+++ b/Libraries/LibOwnership/fleet_records.cc
@@ -73,7 +73,7 @@
 RecordList EncodeRecords(const FleetRecords& records) {
   RecordList encoded(records.node_records_->begin(), records.node_records_->end());
   for (const auto& [service, table] : records.tables_) {
-    if (table->version_ > 0) {
+    if (!table->ranges_.empty()) {
       encoded.emplace_back(std::string(kTablePrefix) + service, EncodeKeyTable(*table));
     }
   }
--- a/Libraries/LibOwnership/fleet_records.h
+++ b/Libraries/LibOwnership/fleet_records.h
@@ -63,8 +63,8 @@
 /// An empty value removes the record.
 void SetNodeRecord(FleetRecords& records, const std::string& key, const std::string& value);
 
-/// Keys and values of all records, as written to the topic. Tables of version 0, which haven't been
-/// written, are left out.
+/// Keys and values of all records, as written to the topic. Tables without ranges, which haven't
+/// been written, are left out.
 RecordList EncodeRecords(const FleetRecords& records);
 
 }  // namespace sassafrasbay
--- a/Libraries/LibOwnership/ownership_decision.cc
+++ b/Libraries/LibOwnership/ownership_decision.cc
@@ -267,6 +267,16 @@
          view.now_ - view.started_ > kMinFirstAssignmentDelay;
 }
 
+/// Writes the known table again after a late append of an earlier era.
+Decision RewriteTable(const KeyTable& table, const OwnershipView& view) {
+  if (!view.is_overwritten_) {
+    return std::nullopt;
+  }
+  KeyTable next = table;
+  ++next.version_;
+  return OwnershipChange{std::move(next), "the store has a table of an earlier era"};
+}
+
 /// Assigns successors to ranges whose owner or successor is beside a node that is presumed lost.
 Decision ReplaceLostNodes(const KeyTable& table, const OwnershipView& view) {
   if (IsIsolated(view)) {
@@ -493,8 +503,8 @@
   if (!IsPlanner(view)) {
     return std::nullopt;
   }
-  for (const auto decide :
-       {&ReplaceLostNodes, &AssignKeysWithoutOwner, &MoveKeysToEmptyUpstreams, &BalanceDemand}) {
+  for (const auto decide : {&RewriteTable, &ReplaceLostNodes, &AssignKeysWithoutOwner,
+                            &MoveKeysToEmptyUpstreams, &BalanceDemand}) {
     if (Decision decision = decide(table, view)) {
       return decision;
     }
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -59,6 +59,8 @@
   BootTime now_{};
   BootTime started_{};  ///< When this process started to read the table.
   bool reaches_store_ = false;
+  /// The newest table in the store is void, so that the known one has to be written again.
+  bool is_overwritten_ = false;
   /// When this process read its own registration from the store.
   std::optional<BootTime> registered_;
   LocalUpstream local_upstream_;
--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -126,6 +126,7 @@
   value["li"] = message.leaving_instance_;
   value["lb"] = message.leaving_born_ms_;
   value["pr"] = message.promises_;
+  value["ko"] = message.known_to_owners_;
   return SerializeFrame(value);
 }
 
@@ -247,6 +248,7 @@
   message.leaving_instance_ = TakeText(reader, "li");
   Read(reader, "lb", message.leaving_born_ms_);
   message.promises_ = TakeFlag(reader, "pr");
+  message.known_to_owners_ = TakeFlag(reader, "ko");
   for (Cbor& item : TakeArray(reader, "st")) {
     FieldReader fields = MakeReader(item, reader);
     ServiceTime& time = message.service_times_.emplace_back();
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -131,6 +131,8 @@
   /// instance if none.
   std::string leaving_instance_;
   std::int64_t leaving_born_ms_ = 0;
+  /// The sender has been registered long enough to be known to all nodes, see IsKnownToOwners().
+  bool known_to_owners_ = false;
   /// Whether the report carries a takeover promise to the receiver, see TakeoverPromises.
   bool promises_ = false;
 };
--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -45,7 +45,15 @@
 
 void ControlThread::OnOperatorRecord(const KeyedRecord& record) {
   if (record.key_ == platform::kConfigurationKey && !record.value_.empty()) {
-    ApplyConfiguration(record.value_, ConfigurationSource::kStore);
+    // Other nodes may have a newer one in force, which a restored store has lost.
+    held_configuration_ = record.value_;
+    ApplyHeldConfiguration();
+  }
+}
+
+void ControlThread::ApplyHeldConfiguration() {
+  if (!held_configuration_.empty() && (routes_ != nullptr || !AwaitsPeerState())) {
+    ApplyConfiguration(std::exchange(held_configuration_, {}), ConfigurationSource::kStore);
   }
 }
 
--- a/Services/sassafrasbay/router/control_leaving.cc
+++ b/Services/sassafrasbay/router/control_leaving.cc
@@ -60,18 +60,20 @@
 
 // A process that hasn't registered yet writes the leaving with its registration.
 void ControlThread::WriteLeaving() {
-  if (!registered_at_ || leaving_write_pending_ || IsLeavingRecorded() ||
-      BootClock::now() < leaving_backoff_until_) {
+  if (!registered_at_ || !fleet_topic_.IsOfNewestEra() || leaving_write_pending_ ||
+      IsLeavingRecorded() || BootClock::now() < leaving_backoff_until_) {
     return;
   }
   leaving_write_pending_ = true;
   const std::optional<LeavingUpstream> leaving = FindLeaving(registry_);
-  AppendOwnRecord([this, leaving](const Result<TopicPosition>& position) {
+  AppendOwnRecord(false, [this, leaving](const Result<TopicPosition>& position) {
     leaving_write_pending_ = false;
-    if (!position) {
+    const bool is_in_force = position && position.value().era_ == fleet_topic_.End().era_;
+    if (!is_in_force) {
       leaving_backoff_until_ = BootClock::now() + kWriteBackoff;
       LogWarning(kPart, "upstream=" + leaving->instance_ + " leaving not recorded reason=\"" +
-                            ToString(position.error()) + "\".");
+                            (position ? "the store was restored" : ToString(position.error())) +
+                            "\".");
       return;
     }
     recorded_leaving_ = leaving;
--- a/Services/sassafrasbay/router/control_members.cc
+++ b/Services/sassafrasbay/router/control_members.cc
@@ -63,10 +63,11 @@
     return;
   }
   registration_pending_ = true;
-  AppendOwnRecord([this](const Result<TopicPosition>& position) {
+  AppendOwnRecord(begins_history_, [this](const Result<TopicPosition>& position) {
     registration_pending_ = false;
     if (position) {
       registered_up_to_ = {position.value().era_, position.value().offset_ + 1};
+      begins_history_ = false;
       // Registrations of other nodes may precede this record.
       fleet_topic_.ReadNow();
       return;
@@ -75,17 +76,21 @@
   });
 }
 
-void ControlThread::AppendOwnRecord(std::function<void(const Result<TopicPosition>&)> done) {
-  const KeyedRecord record{0, std::string(kNodePrefix) + shared_.self_,
-                           EncodeNodeRecord(OwnRecord())};
-  store_.Append(
-      kFleetTopic, {&record, 1}, std::nullopt,
-      [this, record, done = std::move(done)](const Result<TopicPosition>& position) {
-        if (position) {
-          OnWritten({position.value().offset_, record.key_, record.value_}, position.value().era_);
-        }
-        done(position);
-      });
+void ControlThread::AppendOwnRecord(bool with_history,
+                                    std::function<void(const Result<TopicPosition>&)> done) {
+  std::vector<KeyedRecord> records{
+      {0, std::string(kNodePrefix) + shared_.self_, EncodeNodeRecord(OwnRecord())}};
+  if (with_history) {
+    records.push_back({0, HistoryKey(fleet_topic_.End().era_), shared_.self_});
+  }
+  store_.Append(kFleetTopic, records, std::nullopt,
+                [this, records, done = std::move(done)](const Result<TopicPosition>& position) {
+                  for (std::size_t i = 0; position && i < records.size(); ++i) {
+                    OnWritten({position.value().offset_ + i, records[i].key_, records[i].value_},
+                              position.value().era_);
+                  }
+                  done(position);
+                });
 }
 
 // What an earlier process has recorded of a leaving upstream is kept, as a heartbeat from before
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -59,14 +59,15 @@
                        [](bool) {},
                        {},
                        {}}),
-      fleet_topic_(loop_, store_, std::string(kFleetTopic), kJoiningReadSchedule,
-                   {[this](const KeyedRecord& record) { OnFleetRecord(record); },
-                    [this](BootTime requested_at, BootTime) { OnTablesCurrent(requested_at); },
-                    [this](bool reached) { shared_.reaches_store_ = reached; },
-                    [this](const HistoryCandidate& history) {
-                      ReplaceRecords({history.records_.begin(), history.records_.end()});
-                    },
-                    {}}),
+      fleet_topic_(
+          loop_, store_, std::string(kFleetTopic), kJoiningReadSchedule,
+          {[this](const KeyedRecord& record) { OnNextFleetRecord(record); },
+           [this](BootTime requested_at, BootTime) { OnTablesCurrent(requested_at); },
+           [this](bool reached) { shared_.reaches_store_ = reached; },
+           [this](const HistoryCandidate& history) {
+             ReplaceRecords({history.records_.begin(), history.records_.end()});
+           },
+           [this](const HistoryCandidate& history) { return MayReplaceRecords(history); }}),
       key_table_writer_(
           store_, shared_.promises_,
           [this](const KeyedRecord& record, std::uint64_t era) { OnWritten(record, era); }) {
@@ -92,6 +93,9 @@
   loop_.StartRepeatingTimer(kDecisionInterval, [this] {
     ChooseReaders();
     VerifyConfiguration();
+    SettleHistory();
+    UseUnsettledStore();
+    ApplyHeldConfiguration();
     RemoveLostNode();
     Decide();
     WriteLeaving();
@@ -177,9 +181,9 @@
     keys.insert(key);
   }
   const FleetRecords before = std::exchange(records_, {});
-  for (const auto& [key, value] : *before.node_records_) {
-    if (!keys.contains(key)) {
-      OnNodeRemoved(key.substr(kNodePrefix.size()));
+  for (const auto& [address, member] : std::map(members_)) {
+    if (!keys.contains(std::string(kNodePrefix) + address)) {
+      OnNodeRemoved(address);
     }
   }
   for (const auto& [service, table] : before.tables_) {
@@ -190,9 +194,29 @@
   for (const auto& [key, value] : records) {
     OnFleetRecord({0, key, value});
   }
+  overwritten_tables_.clear();
+  ApplyHeldConfiguration();
   ScheduleUpdate();
 }
 
+// An append of an earlier era may take effect late. Its table is void, but the newest in the store.
+void ControlThread::OnNextFleetRecord(const KeyedRecord& record) {
+  if (record.key_.starts_with(kTablePrefix)) {
+    const Result<KeyTable> table = DecodeKeyTable(record.value_);
+    if (table && table.value().version_ <= FirstTableVersion(fleet_topic_.End().era_)) {
+      shared_.metrics_.Count("sassafrasbay_void_tables_total");
+      LogWarning(kPart, "key table service=" + table.value().service_ +
+                            " version=" + std::to_string(table.value().version_) +
+                            " ignored; it is of an era before " +
+                            std::to_string(fleet_topic_.End().era_) + ".");
+      overwritten_tables_.insert(table.value().service_);
+      ScheduleUpdate();
+      return;
+    }
+  }
+  OnFleetRecord(record);
+}
+
 void ControlThread::OnFleetRecord(const KeyedRecord& record) {
   if (record.key_.starts_with(kNodePrefix)) {
     OnNodeRecord(record);
@@ -215,6 +239,7 @@
   if (known != nullptr && table.version_ <= known->version_) {
     return;
   }
+  overwritten_tables_.erase(table.service_);
   key_table_writer_.OnTableChanged(known == nullptr ? KeyTable{} : *known, table, BootClock::now());
   SetTable(records_, std::move(table));
   ScheduleUpdate();
@@ -311,6 +336,11 @@
                       BootClock::now() - shared_.environment_.drain_limit_, "peer");
   }
   const std::string address = report.address_;
+  // A process that can't read the store learns from the reports whom to ask for the state.
+  if (!fleet_topic_.IsCurrent() &&
+      members_.try_emplace(address, Member{address, report.data_centre_}).second) {
+    ScheduleUpdate();
+  }
   const auto known = peers_.find(address);
   const bool upstream_changed =
       known == peers_.end() ||
@@ -348,6 +378,7 @@
   if (registry_.newest_ && registry_.newest_->service_ == service) {
     view.local_upstream_ = registry_.local_upstream_;
   }
+  view.is_overwritten_ = overwritten_tables_.contains(service);
   view.known_nodes_ = std::max<std::size_t>(1, members_.size());
   view.reachable_nodes_ = 1;
   view.unknown_upstreams_ = registry_.newest_ ? 0 : 1;
@@ -390,7 +421,7 @@
       continue;
     }
     if (FindTable(records_, name) == nullptr) {
-      SetTable(records_, {name, 0, {}});
+      SetTable(records_, {name, FirstTableVersion(fleet_topic_.End().era_), {}});
     }
     key_table_writer_.Decide(*FindTable(records_, name), fleet_topic_.End(), MakeView(name));
   }
@@ -419,7 +450,8 @@
   snapshot->records_ = records_;
   snapshot->tables_end_ = fleet_topic_.End();
   snapshot->store_era_ = std::max(fleet_topic_.NewestEra(), operator_topic_.NewestEra());
-  snapshot->registered_ = registered_at_.has_value();
+  snapshot->registered_at_ = registered_at_;
+  snapshot->may_promise_ = MayPromise();
   snapshot->readers_ = readers_;
   for (const auto& [address, member] : members_) {
     if (address != shared_.self_) {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "LibOwnership/history_settlement.h"
 #include "LibOwnership/report_timing.h"
 #include "LibOwnership/upstream_registry.h"
 #include "LibTransport/http_client.h"
@@ -68,8 +69,15 @@
     BootTime received_at_{};
   };
 
+  /// An era of the store that wasn't settled when this process first saw it.
+  struct UnsettledEra {
+    std::uint64_t era_ = 0;
+    BootTime seen_at_{};
+  };
+
   void OnOperatorRecord(const KeyedRecord& record);
   void ApplyConfiguration(std::string_view text, ConfigurationSource source);
+  void ApplyHeldConfiguration();
   /// Version of the configuration in force; 0 without one.
   std::uint64_t ConfigurationVersion() const;
   /// Time since it was last known that no newer configuration exists.
@@ -79,6 +87,19 @@
   /// Reads the store when it is too long ago that the configuration was verified.
   void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
+  /// Takes a record that follows the known ones in the store.
+  void OnNextFleetRecord(const KeyedRecord& record);
+  /// Whether the newest records of the store replace the known ones.
+  bool MayReplaceRecords(const HistoryCandidate& history);
+  void FindOtherNodes(const HistoryCandidate& history);
+  /// Whether other nodes may still send their state to this process, which knows no records yet.
+  bool AwaitsPeerState() const;
+  /// Takes what a process needs to serve from an unsettled store, once nobody else may know more.
+  void UseUnsettledStore();
+  SettlementView MakeSettlementView() const;
+  bool MayPromise() const;
+  /// Writes all known records to an era that isn't settled, if it is this node's turn.
+  void SettleHistory();
   /// Replaces all known records by the newest ones of the topic.
   void ReplaceRecords(const RecordList& records);
   void OnNodeRecord(const KeyedRecord& record);
@@ -126,8 +147,9 @@
   void OnPeerRecord(const TableRecord& message);
   void Register();
   NodeRecord OwnRecord() const;
-  /// Writes this node's registration, whatever the end of the topic is.
-  void AppendOwnRecord(std::function<void(const Result<TopicPosition>&)> done);
+  /// Writes this node's registration, whatever the end of the topic is. `with_history` also writes
+  /// the record that settles the era.
+  void AppendOwnRecord(bool with_history, std::function<void(const Result<TopicPosition>&)> done);
   void Publish();
   void ScheduleUpdate();
 
@@ -167,6 +189,14 @@
   bool leaving_write_pending_ = false;
   BootTime leaving_backoff_until_{};
   bool update_posted_ = false;
+  std::optional<UnsettledEra> unsettled_;  ///< The latest one.
+  bool begins_history_ = false;            ///< The system starts for the first time.
+  bool settlement_pending_ = false;
+  BootTime settlement_backoff_until_{};
+  /// Services whose table in the store is of an earlier era than the known one.
+  std::set<std::string> overwritten_tables_;
+  /// Configuration from the store that waits for the state of other nodes.
+  std::string held_configuration_;
 };
 
 }  // namespace sassafrasbay
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -56,10 +57,11 @@
   std::shared_ptr<const std::string> configuration_text_;
   FleetRecords records_;
   TopicPosition tables_end_;
-  std::uint64_t store_era_ = 0;    ///< Latest era in which the store has answered.
-  bool registered_ = false;        ///< The registration of this process has been read back.
-  std::vector<Member> members_;    ///< All but this node.
-  std::set<std::string> readers_;  ///< Peer addresses of the nodes that follow the store.
+  std::uint64_t store_era_ = 0;            ///< Latest era in which the store has answered.
+  std::optional<BootTime> registered_at_;  ///< The registration of this process was read back.
+  bool may_promise_ = false;               ///< This node may give takeover promises.
+  std::vector<Member> members_;            ///< All but this node.
+  std::set<std::string> readers_;          ///< Peer addresses of the nodes that follow the store.
   std::shared_ptr<const UpstreamState> upstream_;  ///< Null until its first heartbeat.
 };
 
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibOwnership/history_settlement.h"
 #include "LibOwnership/report_timing.h"
 #include "router/echoed_clock.h"
 
@@ -205,8 +206,12 @@
     lagging_since_.erase(report.address_);
     return;
   }
-  BootTime& since =
-      lagging_since_.try_emplace(report.address_, received_report.received_at_).first->second;
+  // A node that knows nothing can't serve anybody, and has found no store to read by itself.
+  const bool knows_nothing =
+      report.configuration_version_ == 0 && report.tables_end_ == TopicPosition{};
+  const BootTime lagging_since =
+      received_report.received_at_ - (knows_nothing ? kStateTransferDelay : milliseconds(0));
+  BootTime& since = lagging_since_.try_emplace(report.address_, lagging_since).first->second;
   const auto turn = 1 + StateTransferTurn(report.address_) / kStateSendersPerTurn;
   if (received_report.received_at_ - since < kStateTransferDelay * turn) {
     return;
@@ -254,6 +259,7 @@
   }
   report.tables_end_ = snapshot_->tables_end_;
   report.store_era_ = snapshot_->store_era_;
+  report.known_to_owners_ = IsKnownToOwners(snapshot_->registered_at_, BootClock::now());
   if (const auto since = shared_.confirmations_.Since(snapshot_->tables_end_)) {
     report.tables_known_ = true;
     report.tables_age_ms_ = AgeMilliseconds(*since);
@@ -314,7 +320,7 @@
   // A promise to a node that may be lost would only delay the takeover of its keys.
   const bool is_alive = last_report != reports_.end() &&
                         now - last_report->second.received_at_ < PresumedAliveTimeout(NodeCount());
-  report.promises_ = is_alive && snapshot_->registered_ && shared_.promises_.Give(address, now);
+  report.promises_ = is_alive && snapshot_->may_promise_ && shared_.promises_.Give(address, now);
   const LeavingUpstreams::Entry* leaving = router_.FindLeavingUpstream(address);
   report.leaving_instance_ = leaving == nullptr ? "" : leaving->holder_.instance_;
   report.leaving_born_ms_ = leaving == nullptr ? 0 : leaving->holder_.born_ms_;
--- a/Tests/LibOwnership/test_fleet_records.cc
+++ b/Tests/LibOwnership/test_fleet_records.cc
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_CASE(EncodedRecordsHoldTablesAndRegistrations) {
   FleetRecords records;
   SetTable(records, MakeTable("booking", 7, 3));
-  SetTable(records, MakeTable("not-written", 0, 0));
+  SetTable(records, {"not-written", 7, {}});
   SetNodeRecord(records, "node/10.0.0.1:7620", "{\"life\":\"a\"}");
   const auto encoded = EncodeRecords(records);
   BOOST_REQUIRE(encoded.size() == 2U);
--- a/Tests/Services/ownership_model.cc
+++ b/Tests/Services/ownership_model.cc
@@ -12,6 +12,17 @@
 constexpr milliseconds kTimeStep{20};
 constexpr milliseconds kHeartbeatInterval{870};
 constexpr ShardKey kKeyStep = 1024;
+constexpr std::string_view kService = "lookup";
+
+/// In each step: a restore every 25 s.
+constexpr double kRestoreProbability = 0.0008;
+
+/// Time after which a registration that isn't read back is written again.
+constexpr milliseconds kRegistrationInterval{2000};
+
+/// Age above which what a peer reported isn't used.
+constexpr milliseconds kMaxReportAge{1500};
+
 constexpr std::int64_t kUnixOffsetMs = 1'700'000'000'000;
 
 milliseconds SinceBoot(BootTime time) {
@@ -23,7 +34,7 @@
 void ModelStore::Append(std::string_view, std::span<const KeyedRecord> records,
                         std::optional<std::uint64_t> at,
                         std::function<void(Result<TopicPosition>)> callback) {
-  const KeyedRecord& record = records.front();
+  const std::vector<KeyedRecord> copy(records.begin(), records.end());
   const auto answer = [this, callback](milliseconds delay, const Result<TopicPosition>& result) {
     events_.push_back({now_ + delay, [callback, result] { callback(result); }});
   };
@@ -32,33 +43,57 @@
   if (is_down_) {
     answer(milliseconds(40), MakeError(Errc::kUnavailable, "append record", "store", {}));
   } else if (draw < 70) {
-    const std::uint64_t offset = records_.size();
-    if (TakeEffect(record, at)) {
-      answer(milliseconds(20), TopicPosition{0, offset});
+    const TopicPosition position{era_, records_.size()};
+    if (TakeEffect(copy, at)) {
+      answer(milliseconds(20), position);
     } else {
       answer(milliseconds(20), MakeError(Errc::kConflict, "append record", "store", {}));
     }
   } else if (draw < 80) {
-    TakeEffect(record, at);
+    TakeEffect(copy, at);
     answer(milliseconds(1500), lost);
   } else if (draw < 95) {
     events_.push_back({now_ + milliseconds(1000 + static_cast<int>(random_() % 8000)),
-                       [this, record, at] { TakeEffect(record, at); }});
+                       [this, copy, at] { TakeEffect(copy, at); }});
     answer(milliseconds(1500), lost);
   } else {
     answer(milliseconds(1500), lost);
   }
 }
 
-bool ModelStore::TakeEffect(const KeyedRecord& record, std::optional<std::uint64_t> at) {
+bool ModelStore::TakeEffect(const std::vector<KeyedRecord>& records,
+                            std::optional<std::uint64_t> at) {
   if (at && *at != records_.size()) {
     return false;
   }
-  records_.push_back(record);
-  records_.back().offset_ = records_.size() - 1;
+  for (const KeyedRecord& record : records) {
+    records_.push_back(record);
+    records_.back().offset_ = records_.size() - 1;
+    appended_at_.push_back(now_);
+  }
   return true;
 }
 
+void ModelStore::Restore(BootTime copied_at) {
+  ++era_;
+  while (!records_.empty() && appended_at_.back() > copied_at) {
+    records_.pop_back();
+    appended_at_.pop_back();
+  }
+}
+
+StoredRecords ModelStore::Newest() const {
+  StoredRecords newest;
+  for (const KeyedRecord& record : records_) {
+    if (record.value_.empty()) {
+      newest.erase(record.key_);
+    } else {
+      newest[record.key_] = record.value_;
+    }
+  }
+  return newest;
+}
+
 void ModelStore::Advance(BootTime now) {
   now_ = now;
   std::vector<Event> due;
@@ -74,8 +109,12 @@
   }
 }
 
-OwnershipModel::OwnershipModel(std::uint64_t seed, bool trace)
-    : trace_(trace), random_(seed), now_(std::chrono::minutes(10)), store_(random_) {
+OwnershipModel::OwnershipModel(std::uint64_t seed, bool restores, bool trace)
+    : restores_(restores),
+      trace_(trace),
+      random_(seed),
+      now_(std::chrono::minutes(10)),
+      store_(random_) {
   max_token_.resize(kLastShardKey / kKeyStep + 1);
   last_holder_.resize(max_token_.size());
   nodes_.resize(kNodes);
@@ -85,6 +124,7 @@
     node.upstream_.started_at_ = now_;
     node.upstream_.next_heartbeat_ = now_ + RandomDuration(0, 870);
     Restart(node);
+    node.may_begin_ = true;
   }
 }
 
@@ -101,9 +141,14 @@
 void OwnershipModel::Restart(ModelNode& node) {
   node.running_ = true;
   node.started_ = now_;
-  node.read_to_ = 0;
-  node.registration_offset_ = 0;
-  node.table_ = KeyTable{"lookup", 0, {}};
+  node.incarnation_ = std::to_string(random_());
+  node.end_ = {};
+  node.is_current_ = node.may_begin_ = node.is_table_void_ = false;
+  node.records_ = {};
+  SetTable(node.records_, {std::string(kService), 0, {}});
+  node.newest_era_ = 0;
+  node.next_registration_ = {};
+  node.peer_ends_.clear();
   node.confirmed_ = {};
   node.registry_ = UpstreamRegistry{};
   node.registry_.self_ = node.address_;
@@ -122,6 +167,9 @@
     if (RandomChance(0.012)) {
       InjectFault();
     }
+    if (restores_ && RandomChance(kRestoreProbability)) {
+      RestoreStore();
+    }
     for (ModelNode& node : nodes_) {
       StepNode(node);
       StepUpstream(node);
@@ -143,11 +191,7 @@
   Trace(node, "fault " + std::to_string(kind));
   switch (kind) {
     case 0:
-      // Appends of the ended process may still take effect, but nobody gets their answers. Its
-      // KeyTableWriter is kept, since the store's pending callbacks refer to it.
-      node.running_ = false;
-      node.answers_in_transit_.clear();
-      node.restart_at_ = now_ + RandomDuration(300, 5000);
+      EndProcess(node);
       break;
     case 1:
       node.frozen_until_ = now_ + RandomDuration(500, 9000);
@@ -173,32 +217,161 @@
   }
 }
 
+void OwnershipModel::RestoreStore() {
+  // Most restores are of a copy of the last seconds, some of one from before everything.
+  store_.Restore(now_ - RandomDuration(100, RandomChance(0.1) ? 100'000 : 12'000));
+  store_.is_down_ = RandomChance(0.3);
+  const double share = RandomChance(0.3) ? 1.0 : RandomChance(0.5) ? 0.5 : 0.0;
+  for (ModelNode& node : nodes_) {
+    if (node.running_ && RandomChance(share)) {
+      EndProcess(node);
+    }
+  }
+}
+
+// Appends of the ended process may still take effect, but nobody gets their answers. Its
+// KeyTableWriter is kept, since the store's pending callbacks refer to it.
+void OwnershipModel::EndProcess(ModelNode& node) {
+  node.running_ = false;
+  node.answers_in_transit_.clear();
+  node.restart_at_ = now_ + RandomDuration(300, 5000);
+}
+
 void OwnershipModel::ReadStore(ModelNode& node) {
   if (store_.is_down_ || now_ < node.no_store_until_ || RandomChance(0.3)) {
     return;
   }
+  if (node.is_current_ && node.end_.era_ == store_.era_) {
+    ReadNext(node);
+  } else {
+    ReadNewest(node);
+  }
+  Register(node);
+}
+
+void OwnershipModel::ReadNext(ModelNode& node) {
   // An answer states what was true when the store made it, some time before it arrives.
   const bool slow = RandomChance(0.3);
   const BootTime requested_at = now_ - (slow ? RandomDuration(20, 900) : milliseconds(20));
-  for (; node.read_to_ < store_.records_.size(); ++node.read_to_) {
-    const KeyedRecord& record = store_.records_[node.read_to_];
+  for (; node.end_.offset_ < store_.records_.size(); ++node.end_.offset_) {
+    const KeyedRecord& record = store_.records_[node.end_.offset_];
+    if (record.key_ == std::string(kNodePrefix) + node.address_) {
+      OnOwnRegistration(node, record.value_);
+    }
+    if (record.key_.starts_with(kNodePrefix)) {
+      SetNodeRecord(node.records_, record.key_, record.value_);
+    }
     if (!record.key_.starts_with(kTablePrefix)) {
       continue;
     }
     KeyTable table = DecodeKeyTable(record.value_).value();
-    if (table.version_ > node.table_.version_) {
+    if (table.version_ <= FirstTableVersion(node.end_.era_)) {
+      node.is_table_void_ = true;
+    } else if (table.version_ > FindTable(node.records_, kService)->version_) {
+      node.is_table_void_ = false;
       Trace(node, "reads " + EncodeKeyTable(table));
-      node.key_table_writer_->OnTableChanged(node.table_, table, now_);
-      node.table_ = std::move(table);
+      SetModelTable(node, std::move(table));
     }
   }
   node.confirmed_ = std::max(node.confirmed_, requested_at);
-  if (node.registration_offset_ == 0) {
-    store_.records_.push_back({store_.records_.size(), std::string(kNodePrefix), "{}"});
-    node.registration_offset_ = store_.records_.size();
+}
+
+void OwnershipModel::SetModelTable(ModelNode& node, KeyTable table) {
+  node.key_table_writer_->OnTableChanged(*FindTable(node.records_, kService), table, now_);
+  SetTable(node.records_, std::move(table));
+}
+
+void OwnershipModel::OnOwnRegistration(ModelNode& node, const std::string& value) {
+  if (value != node.incarnation_) {
+    node.registered_.reset();
+  } else if (!node.registered_) {
+    node.registered_ = now_;
   }
 }
 
+void OwnershipModel::Adopt(ModelNode& node, const FleetRecords& records, const TopicPosition& end) {
+  const KeyTable* table = FindTable(records, kService);
+  SetModelTable(node, table != nullptr
+                          ? *table
+                          : KeyTable{std::string(kService), FirstTableVersion(end.era_), {}});
+  node.records_.node_records_ = records.node_records_;
+  const auto own = records.node_records_->find(std::string(kNodePrefix) + node.address_);
+  OnOwnRegistration(node, own == records.node_records_->end() ? "" : own->second);
+  if (node.end_.era_ != end.era_) {
+    node.confirmed_ = {};
+  }
+  node.end_ = end;
+  node.is_current_ = true;
+  node.is_table_void_ = false;
+  Trace(node, "adopts " + ToString(end));
+}
+
+// As ControlThread::MayReplaceRecords and SettleHistory.
+void OwnershipModel::ReadNewest(ModelNode& node) {
+  const StoredRecords stored = store_.Newest();
+  const TopicPosition end{store_.era_, store_.records_.size()};
+  const bool begins = node.may_begin_ && store_.era_ == 1 && stored.empty();
+  if (IsSettled(stored, store_.era_) || begins) {
+    FleetRecords records;
+    for (const auto& [key, value] : stored) {
+      if (key.starts_with(kNodePrefix)) {
+        SetNodeRecord(records, key, value);
+      } else if (key.starts_with(kTablePrefix)) {
+        SetTable(records, DecodeKeyTable(value).value());
+      }
+    }
+    node.newest_era_ = store_.era_;
+    Adopt(node, records, end);
+    return;
+  }
+  if (node.newest_era_ != store_.era_) {
+    node.newest_era_ = store_.era_;
+    node.unsettled_since_ = now_;
+  }
+  Settle(node);
+}
+
+void OwnershipModel::Settle(ModelNode& node) {
+  SettlementView view;
+  view.self_ = node.address_;
+  view.now_ = now_;
+  view.seen_at_ = node.unsettled_since_;
+  view.registered_ = node.registered_;
+  view.tables_end_ = node.end_;
+  for (const ModelNode& other : nodes_) {
+    const auto reported = node.peer_ends_.find(other.address_);
+    if (reported != node.peer_ends_.end() && now_ - reported->second.second < kMaxReportAge) {
+      view.peers_.push_back(
+          {other.address_, reported->second.first, true, IsKnownToOwners(other.registered_, now_)});
+    }
+  }
+  view.is_isolated_ = (view.peers_.size() + 1) * 2 < nodes_.size();
+  if (!ShouldSettle(view)) {
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (auto& [key, value] : SettlementRecords(node.is_current_ ? &node.records_ : nullptr,
+                                              store_.Newest(), store_.era_, node.address_)) {
+    records.push_back({0, std::move(key), std::move(value)});
+  }
+  Trace(node, "settles era " + std::to_string(store_.era_) + " knowing " + ToString(node.end_));
+  store_.Append(kFleetTopic, records, store_.records_.size(), [](const Result<TopicPosition>&) {});
+}
+
+void OwnershipModel::Register(ModelNode& node) {
+  if (node.registered_ || !node.is_current_ || node.end_.era_ != store_.era_ ||
+      now_ < node.next_registration_) {
+    return;
+  }
+  node.next_registration_ = now_ + kRegistrationInterval;
+  std::vector<KeyedRecord> records{
+      {0, std::string(kNodePrefix) + node.address_, node.incarnation_}};
+  if (std::exchange(node.may_begin_, false)) {
+    records.push_back({0, HistoryKey(node.end_.era_), node.address_});
+  }
+  store_.Append(kFleetTopic, records, std::nullopt, [](const Result<TopicPosition>&) {});
+}
+
 bool OwnershipModel::Reaches(const ModelNode& left, const ModelNode& right) const {
   const auto is_up = [&](const ModelNode& node) {
     return node.running_ && now_ >= node.frozen_until_ && now_ >= node.no_peers_until_;
@@ -209,12 +382,20 @@
 // Delivers a report of `other` to `node`. It echoes a clock of up to some hundred milliseconds ago.
 void OwnershipModel::DeliverReport(ModelNode& node, ModelNode& other) {
   const BootTime echoed = now_ - RandomDuration(20, 400);
-  if (other.read_to_ == node.read_to_) {
+  node.peer_ends_[other.address_] = {other.end_, now_};
+  // Nodes send their state to those that know less.
+  if (other.is_current_ && other.end_ > node.end_ && RandomChance(0.1)) {
+    Adopt(node, other.records_, other.end_);
+  }
+  if (other.end_ == node.end_ && other.is_current_) {
     node.confirmed_ = std::max(node.confirmed_, other.confirmed_ - (now_ - echoed));
   }
-  const bool promises = other.registered_ && other.promises_->Give(node.address_, now_);
+  const bool may_promise =
+      other.registered_ || (other.is_current_ && other.end_.era_ < other.newest_era_ &&
+                            MayPromiseUnregistered(other.registry_, other.records_));
+  const bool promises = may_promise && other.promises_->Give(node.address_, now_);
   if (promises) {
-    node.received_promises_[other.address_] = {echoed, {0, other.read_to_}};
+    node.received_promises_[other.address_] = {echoed, other.end_};
   }
 }
 
@@ -226,7 +407,9 @@
   view.local_upstream_ = node.registry_.local_upstream_;
   view.registered_ = node.registered_;
   view.newest_born_ms_ = ConfirmedBornMs(node.registry_);
-  view.reaches_store_ = now_ >= node.no_store_until_ && !store_.is_down_ &&
+  view.is_overwritten_ = node.is_table_void_;
+  view.reaches_store_ = node.registered_ && now_ >= node.no_store_until_ && !store_.is_down_ &&
+                        node.newest_era_ <= node.end_.era_ &&
                         now_ - node.confirmed_ < milliseconds(2000);
   view.known_nodes_ = nodes_.size();
   for (const ModelNode& other : nodes_) {
@@ -265,17 +448,12 @@
       DeliverReport(node, other);
     }
   }
-  if (!node.registered_ && node.registration_offset_ > 0 &&
-      node.read_to_ >= node.registration_offset_) {
-    node.registered_ = now_;
-  }
-  node.promises_->Resolve({0, node.read_to_});
-  if (now_ < node.next_decision_ || node.registration_offset_ == 0 ||
-      node.read_to_ < node.registration_offset_) {
+  node.promises_->Resolve(node.end_);
+  if (now_ < node.next_decision_ || !node.registered_) {
     return;
   }
   node.next_decision_ = now_ + milliseconds(100);
-  node.key_table_writer_->Decide(node.table_, {0, node.read_to_}, MakeView(node));
+  node.key_table_writer_->Decide(*FindTable(node.records_, kService), node.end_, MakeView(node));
 }
 
 void OwnershipModel::SendHeartbeat(ModelNode& node) {
@@ -302,8 +480,8 @@
     }
   }
   answer = DecideHeartbeatAnswer(
-      node.table_, MakeView(node),
-      GrantReferenceTime(node.confirmed_, {0, node.read_to_}, node.received_promises_, others),
+      *FindTable(node.records_, kService), MakeView(node),
+      GrantReferenceTime(node.confirmed_, node.end_, node.received_promises_, others),
       milliseconds(10'000));
   RecordGrant(node.registry_, answer, now_);
   node.answers_in_transit_.push_back(
--- a/Tests/Services/ownership_model.h
+++ b/Tests/Services/ownership_model.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -9,13 +10,14 @@
 #include <utility>
 #include <vector>
 
+#include "LibOwnership/history_settlement.h"
 #include "LibOwnership/upstream_registry.h"
 #include "router/key_table_writer.h"
 
 namespace sassafrasbay {
 
 /// A store in simulated time. Appends are answered, refused, lost before or after they take effect,
-/// or take effect late.
+/// or take effect late. It may be restored from an older copy; late appends go on then.
 class ModelStore final : public RecordStore {
  public:
   explicit ModelStore(std::mt19937_64& random) : random_(random) {}
@@ -27,10 +29,18 @@
             std::function<void(Result<RecordBatch>)>) override {}
   void ReadNewestRecords(std::string_view, std::function<void(Result<RecordBatch>)>) override {}
 
+  /// Replaces the records by those of that time, in a new era.
+  void Restore(BootTime copied_at);
+
+  /// The newest record of each key.
+  StoredRecords Newest() const;
+
   /// Moves the store to `now`: late appends take effect and delayed answers arrive.
   void Advance(BootTime now);
 
   std::vector<KeyedRecord> records_;
+  std::vector<BootTime> appended_at_;  ///< By offset.
+  std::uint64_t era_ = 1;
   bool is_down_ = false;
 
  private:
@@ -39,7 +49,7 @@
     std::function<void()> run_;
   };
 
-  bool TakeEffect(const KeyedRecord& record, std::optional<std::uint64_t> at);
+  bool TakeEffect(const std::vector<KeyedRecord>& records, std::optional<std::uint64_t> at);
 
   std::mt19937_64& random_;
   std::vector<Event> events_;
@@ -72,9 +82,16 @@
   BootTime no_store_until_{};
   BootTime no_peers_until_{};
   BootTime started_{};
-  std::uint64_t registration_offset_ = 0;  ///< Topic end behind its registration; 0 before.
-  std::uint64_t read_to_ = 0;
-  KeyTable table_{"lookup", 0, {}};
+  std::string incarnation_;  ///< Of the process.
+  TopicPosition end_;        ///< Up to where it knows the records of a settled era.
+  bool is_current_ = false;  ///< It knows records.
+  bool may_begin_ = false;   ///< The system starts for the first time.
+  FleetRecords records_;
+  bool is_table_void_ = false;  ///< In the store.
+  std::uint64_t newest_era_ = 0;
+  BootTime unsettled_since_{};
+  BootTime next_registration_{};
+  std::map<std::string, std::pair<TopicPosition, BootTime>> peer_ends_;  ///< As reported, and when.
   BootTime confirmed_{};
   BootTime next_decision_{};
   UpstreamRegistry registry_;
@@ -90,8 +107,9 @@
 /// hold a key at the same time and that tokens rise.
 class OwnershipModel {
  public:
+  /// With `restores`, the store is also restored from older copies, and many processes end at once.
   /// With `trace`, faults, tables and answers are written to standard output.
-  OwnershipModel(std::uint64_t seed, bool trace);
+  OwnershipModel(std::uint64_t seed, bool restores, bool trace);
 
   /// Runs for `duration` of simulated time. Returns a description of a violation, or an
   /// empty string.
@@ -102,9 +120,18 @@
 
  private:
   void InjectFault();
+  void RestoreStore();
+  void EndProcess(ModelNode& node);
   void StepNode(ModelNode& node);
   void StepUpstream(ModelNode& node);
   void ReadStore(ModelNode& node);
+  void ReadNewest(ModelNode& node);
+  void ReadNext(ModelNode& node);
+  void Adopt(ModelNode& node, const FleetRecords& records, const TopicPosition& end);
+  void SetModelTable(ModelNode& node, KeyTable table);
+  void OnOwnRegistration(ModelNode& node, const std::string& value);
+  void Register(ModelNode& node);
+  void Settle(ModelNode& node);
   void DeliverReport(ModelNode& node, ModelNode& other);
   void Restart(ModelNode& node);
   void SendHeartbeat(ModelNode& node);
@@ -117,6 +144,7 @@
 
   void Trace(const ModelNode& node, const std::string& text) const;
 
+  bool restores_;
   bool trace_;
   std::mt19937_64 random_;
   BootTime now_;
--- a/Tests/Services/test_ownership_histories.cc
+++ b/Tests/Services/test_ownership_histories.cc
@@ -17,17 +17,15 @@
   return text == nullptr ? 200 : std::stoull(text);
 }
 
-// Guards against two holders of a key, and against tokens that don't rise, under restarts, frozen
-// processes, lost connections, store outages, new incarnations of upstreams, and appends that take
-// effect late.
-BOOST_AUTO_TEST_CASE(NoKeyHasTwoHoldersUnderRandomFaults) {
+/// Runs each seed and checks that it breaks no invariant.
+void RunSeeds(bool restores) {
   double held_fraction_sum = 0;
   const char* single_seed = std::getenv("OWNERSHIP_SEED");
   for (std::uint64_t seed = 1; seed <= Seeds(); ++seed) {
     if (single_seed != nullptr && std::stoull(single_seed) != seed) {
       continue;
     }
-    OwnershipModel model(seed, single_seed != nullptr);
+    OwnershipModel model(seed, restores, single_seed != nullptr);
     const std::string violation = model.Run(kDuration);
     BOOST_TEST(violation.empty(), "seed " << seed << ": " << violation);
     held_fraction_sum += model.HeldFraction();
@@ -36,5 +34,14 @@
             << held_fraction_sum / static_cast<double>(Seeds()) << " of the simulated time\n";
 }
 
+// Guards against two holders of a key, and against tokens that don't rise, under restarts, frozen
+// processes, lost connections, store outages, new incarnations of upstreams, and appends that take
+// effect late.
+BOOST_AUTO_TEST_CASE(NoKeyHasTwoHoldersUnderRandomFaults) { RunSeeds(false); }
+
+// Guards against the same when the store is also restored from older copies, with late appends of
+// the lost history, while some or all processes end.
+BOOST_AUTO_TEST_CASE(NoKeyHasTwoHoldersWhenTheStoreIsRestored) { RunSeeds(true); }
+
 }  // namespace
 }  // namespace sassafrasbay
--- a/Tests/Soak/faults.cc
+++ b/Tests/Soak/faults.cc
@@ -19,7 +19,12 @@
 }  // namespace
 
 Faults::Faults(ReactorLoop& loop, Ledger& ledger, std::mt19937_64& random, Fleet& fleet)
-    : loop_(loop), ledger_(ledger), random_(random), fleet_(fleet), started_(BootClock::now()) {}
+    : loop_(loop),
+      ledger_(ledger),
+      random_(random),
+      restore_random_(random),
+      fleet_(fleet),
+      started_(BootClock::now()) {}
 
 bool Faults::Chance(double probability) {
   return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
@@ -30,7 +35,44 @@
       min_duration.count(), max_duration.count())(random_));
 }
 
-void Faults::Start() { ScheduleNextFault(); }
+void Faults::Start() {
+  ScheduleNextFault();
+  ScheduleNextRestore();
+}
+
+// The other faults of a seed stay what they were before restores were added.
+void Faults::ScheduleNextRestore() {
+  const auto draw = [this](int from, int to) {
+    return milliseconds(std::uniform_int_distribution<int>(from, to)(restore_random_));
+  };
+  const milliseconds delay = draw(3000, 14'000);
+  const milliseconds age = draw(200, 9000);
+  const milliseconds duration = draw(50, 2500);
+  loop_.StartTimer(delay, [this, age, duration] {
+    if (stopped_) {
+      return;
+    }
+    RestoreStore(age, duration);
+    ScheduleNextRestore();
+  });
+}
+
+// The store is away and comes back from a copy. The operator writes the configuration again.
+void Faults::RestoreStore(milliseconds age, milliseconds duration) {
+  if (store_disrupted_) {
+    return;
+  }
+  store_disrupted_ = true;
+  const BootTime copied_at = BootClock::now() - age;
+  fleet_.Store().fault_ = stand_ins::StoreFault::kRefuse;
+  const std::string what = "store restored, " + std::to_string(age.count()) + " ms lost,";
+  BeginFaultFor(what, duration, false, [this, copied_at] {
+    store_disrupted_ = false;
+    fleet_.Store().fault_ = stand_ins::StoreFault::kNone;
+    fleet_.Store().Restore(copied_at);
+    fleet_.WriteConfigurationAgain();
+  });
+}
 
 void Faults::ScheduleNextFault() {
   loop_.StartTimer(RandomDuration(kMinFaultDelay, kMaxFaultDelay), [this] {
@@ -44,7 +86,11 @@
 
 void Faults::BeginFault(const std::string& what, milliseconds min_duration,
                         milliseconds max_duration, bool planned, std::function<void()> end) {
-  const milliseconds duration = RandomDuration(min_duration, max_duration);
+  BeginFaultFor(what, RandomDuration(min_duration, max_duration), planned, std::move(end));
+}
+
+void Faults::BeginFaultFor(const std::string& what, milliseconds duration, bool planned,
+                           std::function<void()> end) {
   const auto at = std::chrono::duration_cast<milliseconds>(BootClock::now() - started_).count();
   std::cout << at << " ms: " << what << " for " << duration.count() << " ms" << std::endl;
   ++active_;
--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -27,6 +27,10 @@
   /// `planned`, the ledger is told of it as a disruption.
   void BeginFault(const std::string& what, milliseconds min_duration, milliseconds max_duration,
                   bool planned, std::function<void()> end);
+  void BeginFaultFor(const std::string& what, milliseconds duration, bool planned,
+                     std::function<void()> end);
+  void ScheduleNextRestore();
+  void RestoreStore(milliseconds age, milliseconds duration);
   void Kill(std::size_t node);
   void Pause(std::size_t node);
   void Terminate(std::size_t node);
@@ -43,6 +47,7 @@
   ReactorLoop& loop_;
   Ledger& ledger_;
   std::mt19937_64& random_;
+  std::mt19937_64 restore_random_;  ///< Separate, so that restores don't change the other faults.
   Fleet& fleet_;
   BootTime started_;
   bool stopped_ = false;
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -67,7 +67,7 @@
     vm.settings_ = directory_ / (vm.name_ + ".toml");
     SASSAFRASBAY_TRY(OpenProxy("peer-" + vm.name_, first_port, vm.host_, kPeerPort));
     SASSAFRASBAY_TRY(OpenProxy("store-" + vm.name_, first_port + 1, "127.0.0.1", store_port));
-    std::ofstream(vm.settings_) << NodeSettings(vm, i);
+    WriteSettings(vm, i);
     StartProcess(vm);
     TargetOptions options{std::string(lookup ? kLookupService : kBookingService),
                           vm.host_,
@@ -88,6 +88,17 @@
   return boost::outcome_v2::success();
 }
 
+void Fleet::EndFirstStart() {
+  is_first_start_ = false;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    WriteSettings(vms_[i], static_cast<int>(i));
+  }
+}
+
+void Fleet::WriteSettings(const Vm& vm, int index) const {
+  std::ofstream(vm.settings_) << NodeSettings(vm, index);
+}
+
 std::string Fleet::NodeSettings(const Vm& vm, int index) const {
   const std::string quoted_host = "\"" + vm.host_ + ":";
   const int store_proxy = kFirstProxyPort + network_ * kProxyPortsPerNetwork + 2 * index + 1;
@@ -95,8 +106,8 @@
   return "node = \"" + vm.name_ + "\"\nip = \"" + vm.host_ + "\"\nzone = \"dc-" +
          std::to_string(index % 3) + "\"\nservice = \"" + service +
          "\"\napp-addr = " + quoted_host + std::to_string(kTargetPort) +
-         "\"\nbeat-interval = \"870ms\"\n" + "port-range = [" + std::to_string(kPeerPort) + ", " +
-         std::to_string(kPeerPort + 15) +
+         "\"\nbeat-interval = \"870ms\"\nbootstrap = " + (is_first_start_ ? "true" : "false") +
+         "\nport-range = [" + std::to_string(kPeerPort) + ", " + std::to_string(kPeerPort + 15) +
          "]\nbounds = [\"converge=2000ms\", \"drain-timeout=2000ms\", \"grace-period=6s\", "
          "\"hold-max=10000ms\", " +
          "\"retry-ratio=0.2\", \"budget-window=10s\", \"budget-slack=62\"]\n" +
@@ -158,10 +169,15 @@
            route("long", "non_idempotent", 1, "/long/", kBookingService, "12000ms"),
            route("version", "idempotent", 2, VersionPath(version_), kBookingService)}}}}},
       {"clusters", {cluster(kLookupService, true), cluster(kBookingService, false)}}};
-  store_.Append(platform::kOperatorTopic, platform::kConfigurationKey, configuration.dump());
+  configuration_ = configuration.dump();
+  WriteConfigurationAgain();
   return version_;
 }
 
+void Fleet::WriteConfigurationAgain() {
+  store_.Append(platform::kOperatorTopic, platform::kConfigurationKey, configuration_);
+}
+
 void Fleet::SetFaults(const std::string& route, pid_t process,
                       const stand_ins::ProxyFaults& faults) {
   stand_ins::ProxyRoute& found = proxy_.routes_.at(route);
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -46,6 +46,8 @@
   /// test when a process can't be started.
   Result<void> Start();
 
+  /// Takes the first start out of the settings of later starts.
+  void EndFirstStart();
   void StartProcess(Vm& vm);
   /// Sets the faults on the links to a node from the process `from`, or from all nodes when it is
   /// 0. Default-constructed faults clear them, as in `SetStoreFaults`.
@@ -56,6 +58,8 @@
   void SetStoreFaults(std::size_t node, const stand_ins::ProxyFaults& faults);
   /// Publishes the configuration under a higher version than before, which is returned.
   std::uint64_t WriteConfiguration();
+  /// Writes the newest configuration again, as operators do after a restore of the store.
+  void WriteConfigurationAgain();
   /// Prefix of a route that only this version of the configuration has.
   static std::string VersionPath(std::uint64_t version);
 
@@ -68,6 +72,7 @@
  private:
   Result<void> OpenProxy(const std::string& name, int port, const std::string& host,
                          std::uint16_t target_port);
+  void WriteSettings(const Vm& vm, int index) const;
   std::string NodeSettings(const Vm& vm, int index) const;
   void SetFaults(const std::string& route, pid_t process, const stand_ins::ProxyFaults& faults);
 
@@ -80,7 +85,9 @@
   stand_ins::Proxy proxy_;
   std::vector<Vm> vms_;
   std::uint64_t version_ = 0;
+  std::string configuration_;  ///< The newest one.
   double link_mbps_ = 0;
+  bool is_first_start_ = true;
 };
 
 }  // namespace sassafrasbay::soak
--- a/Tests/Soak/fleet_fixture.h
+++ b/Tests/Soak/fleet_fixture.h
@@ -37,6 +37,7 @@
     for (const Vm& vm : fleet_.Vms()) {
       AwaitReady(vm);
     }
+    fleet_.EndFirstStart();
     RunFor(kSettlingTime);
   }
 
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -108,6 +108,7 @@
 }
 
 void Soak::BeginTraffic() {
+  fleet_.EndFirstStart();
   for (Vm& vm : fleet_.Vms()) {
     loop_.StartRepeatingTimer(kRequestInterval, [this, &vm] { SendRequest(vm); });
   }
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -2,23 +2,16 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 
 #include "LibOwnership/fleet_records.h"
-#include "Soak/fleet_fixture.h"
+#include "Soak/keys_fixture.h"
 #include "platform/wire_names.h"
 #include "router/key_table_writer.h"
 
 namespace sassafrasbay::soak {
 namespace {
 
-/// Time within which the platform requires a configuration in force, as in the fleet's settings.
-constexpr milliseconds kMaxConfigurationDelay{2000};
-
-/// From the kill of a process to its next start.
-constexpr milliseconds kRestartDelay{500};
-
 /// From an acknowledgement to the kill of the process that gave it.
 constexpr milliseconds kKillDelay{200};
 
@@ -34,35 +27,8 @@
 
 constexpr int kFirstNetwork = 90;
 
-constexpr int kNotFound = 404;
-
-struct RecordsFixture : FleetFixture {
-  RecordsFixture() : FleetFixture(kFirstNetwork) {}
-
-  /// A key that the target beside the node holds.
-  static std::optional<int> HeldKey(const Vm& vm) {
-    for (int key = 0; key <= static_cast<int>(kLastShardKey); ++key) {
-      if (vm.target_->Holds(key)) {
-        return key;
-      }
-    }
-    return std::nullopt;
-  }
-
-  std::ptrdiff_t CountHolders(int key) {
-    return std::count_if(fleet_.Vms().begin(), fleet_.Vms().end(),
-                         [key](const Vm& vm) { return vm.target_->Holds(key); });
-  }
-
-  /// A key that the target beside the node holds, and no other one.
-  int AwaitSingleHolder(const Vm& vm) {
-    const BootTime end = BootClock::now() + kStartTimeout;
-    while (BootClock::now() < end && (!HeldKey(vm) || CountHolders(*HeldKey(vm)) != 1)) {
-      RunFor(kProbeInterval);
-    }
-    BOOST_REQUIRE(HeldKey(vm).has_value());
-    return *HeldKey(vm);
-  }
+struct RecordsFixture : KeysFixture {
+  RecordsFixture() : KeysFixture(kFirstNetwork) {}
 
   /// A heartbeat of another writer that looks like one of a later incarnation of the upstream.
   static HttpCall ForeignHeartbeat(const Vm& vm) {
@@ -85,46 +51,6 @@
     }
   }
 
-  /// Whether the node has a route that exists only in this version of the configuration. The time
-  /// left is too short for the request to be sent to a target.
-  bool HasConfiguration(std::size_t node, std::uint64_t version) {
-    HttpCall call;
-    call.base_url_ = "http://" + fleet_.Vms()[node].host_ + ":7001";
-    call.request_ = {"GET",
-                     Fleet::VersionPath(version) + "x",
-                     {{"Host", "soak.example"},
-                      {std::string(platform::kRequestIdHeader), "probe"},
-                      {std::string(platform::kRemainingTimeHeader), "1"}},
-                     {}};
-    const HttpResult result = Get(std::move(call));
-    return result.response_ && result.response_.value().status_ != kNotFound;
-  }
-
-  /// Probes the node until the configuration is in force there or the limit has passed.
-  bool AwaitConfiguration(std::size_t node, std::uint64_t version, milliseconds limit) {
-    const BootTime end = BootClock::now() + limit;
-    while (BootClock::now() < end) {
-      if (HasConfiguration(node, version)) {
-        return true;
-      }
-      RunFor(kProbeInterval);
-    }
-    return false;
-  }
-
-  void KillAndRestartAll() {
-    for (const Vm& vm : fleet_.Vms()) {
-      vm.process_->Kill();
-    }
-    RunFor(kRestartDelay);
-    for (Vm& vm : fleet_.Vms()) {
-      fleet_.StartProcess(vm);
-    }
-    for (const Vm& vm : fleet_.Vms()) {
-      AwaitReady(vm);
-    }
-  }
-
   /// Sends requests to the booking service at each node in turn. Returns how many were served.
   int CallBookingService(milliseconds duration) {
     HttpClient callers(loop_, kNodes);
--- a/Tests/platform/store_stand_in.cc
+++ b/Tests/platform/store_stand_in.cc
@@ -86,6 +86,16 @@
   }
 }
 
+std::map<std::string, std::string> StoreStandIn::Newest(std::string_view topic) const {
+  std::map<std::string, std::string> newest;
+  if (const auto found = topics_.find(topic); found != topics_.end()) {
+    for (const auto& [key, record] : found->second.newest_) {
+      newest[key] = record.value_;
+    }
+  }
+  return newest;
+}
+
 void StoreStandIn::Respond(const std::shared_ptr<HttpExchange>& exchange,
                            HttpResponse response) const {
   response.headers_.emplace_back(platform::kStoreEraHeader, std::to_string(era_));
--- a/Tests/platform/store_stand_in.h
+++ b/Tests/platform/store_stand_in.h
@@ -38,6 +38,9 @@
   /// waiting for the same offsets.
   void Restore(BootTime copied_at);
 
+  /// Value of the newest record of each key of a topic.
+  std::map<std::string, std::string> Newest(std::string_view topic) const;
+
   /// Drops the history of a topic; the newest record of each key can still be read.
   void Compact(std::string_view topic);
 
