router: Settle no era again that is known already

A read of the newest records after dropped history also makes a candidate for a moment. In an era that was settled late, a node could have settled it once more in that moment, with records older than the store's. Records of the known era now always replace what is known, apart from void tables, which are written again; only later eras are settled.

Tests of TopicFollower: a long poll that outlasts a restore, and a copy that may not replace what is known yet.

--- a/Services/sassafrasbay/router/control_history.cc
+++ b/Services/sassafrasbay/router/control_history.cc
@@ -18,10 +18,12 @@
 
 }  // namespace
 
-// At the first start of the system there is no earlier history that an empty topic could lack.
+// Newest records of the era that is known already are a continuation, whose void tables are written
+// again. At the first start of the system there is no earlier history that an empty topic could
+// lack.
 bool ControlThread::MayReplaceRecords(const HistoryCandidate& history) {
   const std::uint64_t era = history.end_.era_;
-  if (IsSettled(history.records_, era)) {
+  if (!IsOfLaterEra(history) || IsSettled(history.records_, era)) {
     return true;
   }
   const bool is_first_start = shared_.environment_.is_first_start_ && !unsettled_ &&
@@ -41,6 +43,10 @@
   return false;
 }
 
+bool ControlThread::IsOfLaterEra(const HistoryCandidate& history) const {
+  return !fleet_topic_.IsCurrent() || history.end_.era_ > fleet_topic_.End().era_;
+}
+
 // A process that knows no records needs the other nodes to send it theirs.
 void ControlThread::FindOtherNodes(const HistoryCandidate& history) {
   if (fleet_topic_.IsCurrent()) {
@@ -110,7 +116,7 @@
 void ControlThread::SettleHistory() {
   const HistoryCandidate* history = fleet_topic_.Candidate();
   if (history == nullptr || !unsettled_ || unsettled_->era_ != history->end_.era_ ||
-      settlement_pending_ || !fleet_topic_.IsStoreReachable() ||
+      !IsOfLaterEra(*history) || settlement_pending_ || !fleet_topic_.IsStoreReachable() ||
       BootClock::now() < settlement_backoff_until_ || !ShouldSettle(MakeSettlementView())) {
     return;
   }
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -191,10 +191,10 @@
       SetTable(records_, *table);
     }
   }
+  overwritten_tables_.clear();
   for (const auto& [key, value] : records) {
-    OnFleetRecord({0, key, value});
+    OnNextFleetRecord({0, key, value});
   }
-  overwritten_tables_.clear();
   ApplyHeldConfiguration();
   ScheduleUpdate();
 }
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -87,10 +87,12 @@
   /// Reads the store when it is too long ago that the configuration was verified.
   void VerifyConfiguration();
   void OnFleetRecord(const KeyedRecord& record);
-  /// Takes a record that follows the known ones in the store.
+  /// Takes a record that the store holds in the era of the known ones.
   void OnNextFleetRecord(const KeyedRecord& record);
   /// Whether the newest records of the store replace the known ones.
   bool MayReplaceRecords(const HistoryCandidate& history);
+  /// Whether these are records of an era after the known ones.
+  bool IsOfLaterEra(const HistoryCandidate& history) const;
   void FindOtherNodes(const HistoryCandidate& history);
   /// Whether other nodes may still send their state to this process, which knows no records yet.
   bool AwaitsPeerState() const;
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -116,7 +116,7 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 struct FollowerFixture : Fixture {
-  FollowerFixture()
+  explicit FollowerFixture(bool replaces = false)
       : follower_(loop_, store_, "keyed.t", ReadSchedule{milliseconds(200), milliseconds(0)},
                   {[this](const KeyedRecord& record) { seen_[record.key_] = record.value_; },
                    [this](BootTime, BootTime) {
@@ -125,8 +125,9 @@
                      }
                    },
                    [this](bool reached) { reached_.push_back(reached); },
-                   {},
-                   {}}) {}
+                   replaces ? [this](const HistoryCandidate& history) { seen_ = history.records_; }
+                            : std::function<void(const HistoryCandidate&)>(),
+                   [this](const HistoryCandidate&) { return may_replace_; }}) {}
 
   void RunUntil(std::function<bool()> condition) {
     until_ = std::move(condition);
@@ -135,6 +136,7 @@
 
   std::map<std::string, std::string> seen_;
   std::vector<bool> reached_;
+  bool may_replace_ = true;
   std::function<bool()> until_ = [] { return false; };
   TopicFollower follower_;
 };
@@ -219,6 +221,53 @@
   BOOST_TEST(!timed_out);
 }
 
+// Guards against a record that is never read: the store is restored and its topic grows past the
+// reader's offset while one long poll waits.
+BOOST_AUTO_TEST_CASE(ALongPollThatOutlastsARestoreIsNoContinuation) {
+  follower_.SetReadSchedule({milliseconds(1000), milliseconds(0)});
+  server_.Append("keyed.t", "a", "1");
+  const BootTime copied_at = BootClock::now();
+  loop_.StartTimer(milliseconds(50), [this] { server_.Append("keyed.t", "b", "lost"); });
+  follower_.Start();
+  RunUntil([this] { return seen_.contains("b"); });
+  loop_.StartTimer(milliseconds(200), [this, copied_at] {
+    server_.Restore(copied_at);
+    server_.Append("keyed.t", "c", "3");
+    server_.Append("keyed.t", "d", "4");
+  });
+  RunUntil([this] { return seen_.contains("d"); });
+  BOOST_TEST(seen_["c"] == "3");
+  BOOST_TEST((follower_.End() == TopicPosition{2, 3}));
+}
+
+struct ReplacingFixture : FollowerFixture {
+  ReplacingFixture() : FollowerFixture(true) {}
+};
+
+// Guards against the use of records of a restored copy before it may replace what is known, and
+// against known records that the copy lacks and that stay afterwards.
+BOOST_FIXTURE_TEST_CASE(ARestoredCopyReplacesWhatIsKnownWhenItMay, ReplacingFixture) {
+  server_.Append("keyed.t", "a", "1");
+  const BootTime copied_at = BootClock::now();
+  loop_.StartTimer(milliseconds(50), [this] { server_.Append("keyed.t", "b", "lost"); });
+  follower_.Start();
+  RunUntil([this] { return seen_.contains("b"); });
+  may_replace_ = false;
+  server_.Restore(copied_at);
+  loop_.StartTimer(milliseconds(500), [this] { loop_.Stop(); });
+  RunUntilStopped(loop_);
+  BOOST_REQUIRE(follower_.Candidate() != nullptr);
+  BOOST_TEST(seen_["b"] == "lost");
+  BOOST_TEST((follower_.End() == TopicPosition{1, 2}));
+  BOOST_TEST(!follower_.IsOfNewestEra());
+  server_.Append("keyed.t", "c", "3");
+  may_replace_ = true;
+  RunUntil([this] { return seen_.contains("c"); });
+  BOOST_TEST(!seen_.contains("b"));
+  BOOST_TEST((follower_.End() == TopicPosition{2, 2}));
+  BOOST_TEST(follower_.IsOfNewestEra());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
