--- a/Services/sassafrasbay/router/control_history.cc
+++ b/Services/sassafrasbay/router/control_history.cc
@@ -9,8 +9,8 @@
 constexpr std::string_view kPart = "control";
 
 /// Time for which a process that knows nothing yet waits for the state of other nodes before it
-/// uses what an unsettled store says of its upstream and of the configuration. Other nodes send the
-/// state 0.6 s after the first report, or 0.6 s later if some of them lack it too.
+/// uses what an unsettled store says of its upstream and of the configuration. Some nodes send it
+/// at the first report, others 0.6 s later in case that these lack it too.
 constexpr milliseconds kPeerStateTimeout{1500};
 
 /// Backoff after the settling records couldn't be written.
@@ -53,9 +53,11 @@
     return;
   }
   for (const auto& [key, value] : history.records_) {
-    const auto node =
-        key.starts_with(kNodePrefix) ? DecodeNodeRecord(value) : Result<NodeRecord>(Error{});
-    const std::string address = key.substr(std::min(key.size(), kNodePrefix.size()));
+    if (!key.starts_with(kNodePrefix)) {
+      continue;
+    }
+    const std::string address = key.substr(kNodePrefix.size());
+    const Result<NodeRecord> node = DecodeNodeRecord(value);
     if (node && members_.try_emplace(address, Member{address, node.value().data_centre_}).second) {
       ScheduleUpdate();
     }
