Add review case 7: a full target that is cut from control loses its keys while it holds them

Cause: a reset at the opening of a connection and one overdue heartbeat count as proof that an upstream has ended, and its keys are assigned anew before its hold has run out. No product code.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,43 +1,35 @@
-"""Heartbeats of another writer, in which a field is missing, at the control address of one VM."""
+"""Heartbeats of a target are cut off while it resets connections above its limit."""
 
 import asyncio
-import json
 import os
 import sys
-import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins_2"))
-from fleet import CONTROL, KeyJudge, Target, call, cluster, rule, run  # noqa: E402
+from fleet import TARGET, KeyJudge, Target, cluster, rule, run  # noqa: E402
 
-FOREIGN_INTERVAL_S = 0.4
-FOREIGN_S = 5.0
+MAX_CONNECTIONS = 12
+CAPACITY = 18
+CUT_S = 10.0
+WORK_S = 0.3
+REQUEST_INTERVAL_S = 0.008
 
 
-async def write_foreign_heartbeats(record, vm):
-    """Calls as a target of the service would, with an id of its own and without a zone."""
-    body = {
-        "addr": f"{vm.host}:7399",
-        "born": int(time.time() * 1000),
-        "info": {"service": vm.service, "version": "v1", "capacity": 18},
-        "status": {"state": "ready", "sequence": 0, "cold-left": "0ms"},
-        "holds": [],
-        "freed": [],
-    }
-    until = time.monotonic() + FOREIGN_S
-    while time.monotonic() < until:
-        body["status"]["sequence"] += 1
-        answer = await call(
-            vm.host,
-            CONTROL,
-            "POST",
-            "/-/instances/i-other/heartbeat",
-            {"Content-Type": "application/json"},
-            json.dumps(body).encode(),
-            timeout=1.0,
-        )
-        record("foreign-heartbeat", vm=vm.name, status=answer and answer.status,
-               answer=answer and answer.body.decode())
-        await asyncio.sleep(FOREIGN_INTERVAL_S)
+class LimitedTarget(Target):
+    """Accepts `MAX_CONNECTIONS`; the opening of any further one is answered with a reset."""
+
+    listening_ = True
+
+    async def connection(self, reader, writer):
+        if len(self.connections_) + 1 >= MAX_CONNECTIONS:
+            self.server_.close()
+            self.listening_ = False
+        try:
+            await super().connection(reader, writer)
+        finally:
+            if not self.listening_ and self.up and len(self.connections_) < MAX_CONNECTIONS:
+                self.listening_ = True
+                self.server_ = await asyncio.start_server(
+                    self.connection, self.vm.host, TARGET, limit=1 << 26, backlog=64)
 
 
 async def send_requests(record, fleet, answers):
@@ -49,10 +41,10 @@
 
         async def one(vm=vm, number=number):
             answer = await vm.request("/read/x", f"r{number}", key=number * 7919 % 65536)
-            answers.append((record.now(), answer.status if answer else 0))
+            answers.append(answer.status if answer else 0)
 
         asyncio.create_task(one())
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
 async def play(record, fleet, trouble):
@@ -62,11 +54,13 @@
             rule("r-read", "idempotent", "bench", "/read/"),
             rule("r-book", "non_idempotent", "allot", "/book/"),
         ]}],
-        [cluster("bench", sharded=True), cluster("allot")],
+        [{**cluster("bench", sharded=True), "max-conns": MAX_CONNECTIONS}, cluster("allot")],
     )
     fleet.start_processes()
     for number, vm in enumerate(fleet.vms):
-        vm.target = Target(record, vm, vm.service, f"i-{number}", sharded=vm.service == "bench")
+        kind = LimitedTarget if vm.service == "bench" else Target
+        vm.target = kind(record, vm, vm.service, f"i-{number}", sharded=vm.service == "bench",
+                         capacity=CAPACITY, work_s=WORK_S)
         await vm.target.start()
     await fleet.await_ready()
     await fleet.await_keys("bench")
@@ -74,19 +68,22 @@
     answers = []
     tasks = [asyncio.create_task(judge.watch()),
              asyncio.create_task(send_requests(record, fleet, answers))]
-    await asyncio.sleep(6.0)
-    before = judge.longest_s
-    record("steady", shared_s=f"{before:.3f}", answers=len(answers))
+    await asyncio.sleep(8.0)
+    record("steady", shared_s=f"{judge.longest_s:.3f}", answers=len(answers),
+           served=answers.count(200))
+    target = fleet.vms[0].target
     if trouble:
-        await write_foreign_heartbeats(record, fleet.vms[0])
-    else:
-        await asyncio.sleep(FOREIGN_S)
-    await asyncio.sleep(6.0)
+        target.beats = False
+        record("heartbeats-cut", instance=target.instance)
+    await asyncio.sleep(CUT_S)
+    target.beats = True
+    record("heartbeats-back", instance=target.instance)
+    await asyncio.sleep(4.0)
     for task in tasks:
         task.cancel()
-    late = [status for at, status in answers[-300:]]
+    begun = {name: judge.begun_on_shared(name) for name in ("i-0", "i-1", "i-2")}
     record("summary", longest_shared_s=f"{judge.longest_s:.3f}", worst=judge.worst,
-           served_at_end=f"{late.count(200)}/{len(late)}")
+           begun_on_shared_keys=begun, answers=len(answers), served=answers.count(200))
     return judge.broken()
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,118 +1,93 @@
-"""Bodies of legal size, many at once, from clients on several VMs to one key.
-
-The stand-in of the platform ends a process that exceeds the memory of its machine.
-"""
+"""Heartbeats of another writer, in which a field is missing, at the control address of one VM."""
 
 import asyncio
+import json
 import os
-import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins_2"))
-from fleet import CALLERS, Target, cluster, encode_request, read_message, rule, run  # noqa: E402
+from fleet import CONTROL, KeyJudge, Target, call, cluster, rule, run  # noqa: E402
 
-MEMORY_MB = 260
-BODY_BYTES = 3900 * 1024
-SENDERS = 6
-PER_SENDER = 10
-INTERVAL_S = 0.3
-KEY = 100
-ORDINARY = 12
-ORDINARY_TURNS = 12
-WORK_S = 0.5
+FOREIGN_INTERVAL_S = 0.4
+FOREIGN_S = 5.0
 
 
-def resident_mb(vm):
-    try:
-        with open(f"/proc/{vm.process.pid}/status", encoding="ascii") as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
+async def write_foreign_heartbeats(record, vm):
+    """Calls as a target of the service would, with an id of its own and without a zone."""
+    body = {
+        "addr": f"{vm.host}:7399",
+        "born": int(time.time() * 1000),
+        "info": {"service": vm.service, "version": "v1", "capacity": 18},
+        "status": {"state": "ready", "sequence": 0, "cold-left": "0ms"},
+        "holds": [],
+        "freed": [],
+    }
+    until = time.monotonic() + FOREIGN_S
+    while time.monotonic() < until:
+        body["status"]["sequence"] += 1
+        answer = await call(
+            vm.host,
+            CONTROL,
+            "POST",
+            "/-/instances/i-other/heartbeat",
+            {"Content-Type": "application/json"},
+            json.dumps(body).encode(),
+            timeout=1.0,
+        )
+        record("foreign-heartbeat", vm=vm.name, status=answer and answer.status,
+               answer=answer and answer.body.decode())
+        await asyncio.sleep(FOREIGN_INTERVAL_S)
 
 
-async def enforce_memory(record, fleet, peaks, killed):
+async def send_requests(record, fleet, answers):
+    """Reads of keys all over the range, at each VM in turn."""
+    number = 0
     while True:
-        for vm in fleet.vms:
-            size = resident_mb(vm)
-            peaks[vm.name] = max(peaks.get(vm.name, 0.0), size)
-            if size > MEMORY_MB and vm.name not in killed:
-                killed.append(vm.name)
-                record("memory-exceeded", vm=vm.name, mb=f"{size:.0f}", limit=MEMORY_MB)
-                vm.signal(signal.SIGKILL)
-        await asyncio.sleep(0.01)
+        number += 1
+        vm = fleet.vms[number % len(fleet.vms)]
 
+        async def one(vm=vm, number=number):
+            answer = await vm.request("/read/x", f"r{number}", key=number * 7919 % 65536)
+            answers.append((record.now(), answer.status if answer else 0))
 
-async def ordinary_client(record, vm, number, lost):
-    """Books on one kept connection, again and again, until the connection ends."""
-    await asyncio.sleep(number * WORK_S / ORDINARY)
-    reader, writer = await asyncio.open_connection(vm.host, CALLERS)
-    try:
-        for turn in range(ORDINARY_TURNS):
-            request_id = f"book-{number}-{turn}"
-            fields = {"Host": "desk.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
-            record("sent", id=request_id, vm=vm.name, kept=turn > 0)
-            try:
-                writer.write(encode_request("POST", "/book/x", fields, b"shift"))
-                first, answer, _ = await asyncio.wait_for(read_message(reader), 4.0)
-            except (OSError, EOFError, asyncio.TimeoutError) as error:
-                record("no-answer", id=request_id, error=type(error).__name__)
-                if turn > 0:
-                    lost.append(request_id)
-                return
-            record("answered", id=request_id, status=first.split()[1],
-                   stamp=answer.get("x-server-stamp"))
-            if answer.get("connection") == "close":
-                return
-    finally:
-        writer.close()
+        asyncio.create_task(one())
+        await asyncio.sleep(0.02)
 
 
 async def play(record, fleet, trouble):
-    await fleet.prepare(["bench"] + ["allot"] * SENDERS)
+    await fleet.prepare(["bench", "bench", "bench", "allot"])
     fleet.write_configuration(
         [{"host": "desk.example", "rules": [
-            rule("r-write", "non_idempotent", "bench", "/write/", timeout="5000ms"),
-            rule("r-book", "non_idempotent", "allot", "/book/", timeout="3000ms"),
+            rule("r-read", "idempotent", "bench", "/read/"),
+            rule("r-book", "non_idempotent", "allot", "/book/"),
         ]}],
         [cluster("bench", sharded=True), cluster("allot")],
     )
     fleet.start_processes()
     for number, vm in enumerate(fleet.vms):
-        vm.target = Target(record, vm, vm.service, f"i-{number}", sharded=vm.service == "bench",
-                           work_s=2.0 if vm.service == "bench" else WORK_S)
+        vm.target = Target(record, vm, vm.service, f"i-{number}", sharded=vm.service == "bench")
         await vm.target.start()
     await fleet.await_ready()
     await fleet.await_keys("bench")
-    await asyncio.sleep(4.0)
-    owner = fleet.vms[0]
-    peaks, killed, lost = {}, [], []
-    watch = asyncio.create_task(enforce_memory(record, fleet, peaks, killed))
-    ordinary = [asyncio.create_task(ordinary_client(record, owner, number, lost))
-                for number in range(ORDINARY)]
-    await asyncio.sleep(0.8)
-    body = b"x" * (BODY_BYTES if trouble else 1024)
-    calls = []
-    for turn in range(PER_SENDER):
-        for vm in fleet.vms[1:]:
-            calls.append(asyncio.create_task(
-                vm.request("/write/x", f"write-{vm.name}-{turn}", method="POST", key=KEY,
-                           body=body, deadline_ms=5000)))
-        await asyncio.sleep(INTERVAL_S)
-    answers = await asyncio.gather(*calls)
-    await asyncio.gather(*ordinary)
-    watch.cancel()
-    statuses = [answer.status if answer else 0 for answer in answers]
-    begun = {request_id for vm in fleet.vms for _, request_id, _ in vm.target.runs}
-    passed_on = [request_id for request_id in lost if request_id in begun]
-    record("summary", peaks={name: int(mb) for name, mb in peaks.items()}, killed=killed,
-           writes={s: statuses.count(s) for s in sorted(set(statuses))},
-           writes_run=len(owner.target.runs), kept_connections_lost=len(lost),
-           of_these_passed_on=len(passed_on))
-    # LOST: more than three requests of kept connections, passed on to a sound target.
-    return len(passed_on) > 3
+    judge = KeyJudge(record, [vm.target for vm in fleet.vms if vm.service == "bench"])
+    answers = []
+    tasks = [asyncio.create_task(judge.watch()),
+             asyncio.create_task(send_requests(record, fleet, answers))]
+    await asyncio.sleep(6.0)
+    before = judge.longest_s
+    record("steady", shared_s=f"{before:.3f}", answers=len(answers))
+    if trouble:
+        await write_foreign_heartbeats(record, fleet.vms[0])
+    else:
+        await asyncio.sleep(FOREIGN_S)
+    await asyncio.sleep(6.0)
+    for task in tasks:
+        task.cancel()
+    late = [status for at, status in answers[-300:]]
+    record("summary", longest_shared_s=f"{judge.longest_s:.3f}", worst=judge.worst,
+           served_at_end=f"{late.count(200)}/{len(late)}")
+    return judge.broken()
 
 
 run(play, __file__)
--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -617,6 +617,7 @@
     def __init__(self, record, targets):
         self.record_, self.targets_ = record, targets
         self.since_ = {}
+        self.shared_ = []  # (names, first key, last key, from when, to when)
         self.longest_s = 0.0
         self.worst = ""
 
@@ -644,6 +645,8 @@
         if pair not in self.since_:
             self.since_[pair] = now
             self.record_("shared-keys", targets=pair, rows=shared)
+        at = self.record_.now()
+        self.shared_ += [(pair, row[0], row[1], at - 0.01, at) for row in shared]
         held = now - self.since_[pair]
         if held > self.longest_s:
             self.longest_s = held
@@ -653,6 +656,19 @@
     def broken(self):
         return self.longest_s > self.LIMIT_S
 
+    def begun_on_shared(self, name):
+        """How many requests the target began on keys while another target held them too."""
+        target = next(target for target in self.targets_ if target.instance == name)
+        return sum(
+            1
+            for at, _, key in target.runs
+            if key is not None
+            and any(
+                name in pair and first <= int(key) <= last and begin <= at <= end
+                for pair, first, last, begin, end in self.shared_
+            )
+        )
+
 
 def run(play, case):
     """Plays the case. `play(record, fleet, trouble)` returns whether the rule was broken."""
