Let a failure of the review's stand-ins count as a case that couldn't run

Cause: an exception in a stand-in ended the script with status 1, which says that the rule was broken.

--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -420,6 +420,10 @@
 grants = "heartbeat"
 app-addr = "{self.host}:{TARGET}"
 service = "{self.service}"
+[zones]
+zone-a = "r"
+zone-b = "r"
+zone-c = "r"
 [listen-addrs]
 inbound-addr = "{self.host}:7004"
 outbound-addr = "{self.host}:{CALLERS}"
@@ -686,9 +690,10 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, asyncio.TimeoutError) as error:
-        record("not-run", reason=str(error) or type(error).__name__)
-        print(f"the case could not run: {error or type(error).__name__}")
+    except Exception as error:  # Any failure of the stand-ins says nothing about the rule.
+        reason = f"{type(error).__name__}: {error}"
+        record("not-run", reason=reason)
+        print(f"the case could not run: {reason}")
         sys.exit(NOT_RUN)
     record("result", rule_broken=broken)
     print("the rule was broken" if broken else "the rule held")
