LibTransport: Reserve no memory for a length that a response declares

Cause: the parser ran in eager mode from the start. Beast 1.74 sets an error when the declared length of a response exceeds the body limit, and then goes on in eager mode with the body, for which string_body reserves the whole length. Nothing catches std::bad_alloc or std::length_error. The reader's own check compared bytes that had arrived.

Change: the parser is not eager until the header section is done, so its error is returned before the body begins. The body type reserves at most 64 KB before bytes arrive, as the reader for requests does, and BufferedBytes counts what is allocated.

--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/optional/optional.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -14,7 +16,47 @@
 
 namespace http = boost::beast::http;
 
-using Parser = http::response_parser<http::string_body>;
+/// Space that is reserved for a body before any of it has arrived. Upstreams may declare any length
+/// and send nothing of it.
+constexpr std::size_t kMaxInitialBodyBytes = 64U << 10U;
+
+// Beast's string_body reserves the declared length. Names are those of Beast's Body requirements.
+struct IncrementalStringBody {
+  using value_type = std::string;  // NOLINT(readability-identifier-naming)
+
+  class reader {  // NOLINT(readability-identifier-naming)
+   public:
+    template <bool kIsRequest, typename Fields>
+    reader(http::header<kIsRequest, Fields>& /*header*/, value_type& body) : body_(body) {}
+
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void init(const boost::optional<std::uint64_t>& length, boost::system::error_code& error) {
+      error = {};
+      body_.reserve(std::min<std::uint64_t>(length.value_or(0), kMaxInitialBodyBytes));
+    }
+
+    template <typename Buffers>
+    std::size_t put(const Buffers& buffers,  // NOLINT(readability-identifier-naming)
+                    boost::system::error_code& error) {
+      error = {};
+      const std::size_t previous_size = body_.size();
+      for (auto buffer = boost::asio::buffer_sequence_begin(buffers);
+           buffer != boost::asio::buffer_sequence_end(buffers); ++buffer) {
+        const boost::asio::const_buffer piece = *buffer;
+        body_.append(static_cast<const char*>(piece.data()), piece.size());
+      }
+      return body_.size() - previous_size;
+    }
+
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    std::string& body_;
+  };
+};
+
+using Parser = http::response_parser<IncrementalStringBody>;
 
 constexpr std::string_view kOperation = "read response";
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
@@ -71,8 +113,8 @@
 
   void Restart() {
     is_start_checked_ = false;
+    // Not eager before the body: Beast 1.74 would go on after a declared length above the limit.
     parser_ = std::make_unique<Parser>();
-    parser_->eager(true);
     parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(max_body_bytes_);
   }
@@ -138,10 +180,7 @@
     if (error) {
       return ParseError(error);
     }
-    // This version of Beast does not check the declared length of a response against the limit.
-    if (impl_->parser_->get().body().size() > impl_->max_body_bytes_) {
-      return MakeError(Errc::kTooLarge, kOperation, {}, "response body exceeds the maximum size");
-    }
+    impl_->parser_->eager(impl_->parser_->is_header_done());
     // An interim response is followed by the final one.
     if (impl_->parser_->is_done() && impl_->parser_->get().result_int() < kFirstFinalStatus) {
       impl_->Restart();
@@ -173,7 +212,7 @@
 }
 
 std::size_t ResponseReader::BufferedBytes() const {
-  return impl_->pending_.size() + impl_->parser_->get().body().size();
+  return impl_->pending_.size() + impl_->parser_->get().body().capacity();
 }
 
 bool ResponseReader::IsComplete() const { return impl_->parser_->is_done(); }
--- a/Tests/LibTransport/test_response_reader.cc
+++ b/Tests/LibTransport/test_response_reader.cc
@@ -166,5 +166,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(DeclaredLengths)
+
+std::string HeadWithLength(const std::string& length) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n";
+}
+
+// Guards against a process that ends because it reserves memory for a length that a faulty upstream
+// declares, whether or not any of the body follows.
+BOOST_AUTO_TEST_CASE(ALengthOverTheLimitIsTooLargeAtOnce) {
+  for (const std::string length :
+       {"1001", "30000000000", "9007199254740992", "9223372036854775807", "18446744073709551615"}) {
+    for (const std::string body : {"", "some bytes"}) {
+      ResponseReader reader(kMaxBodyBytes);
+      const Result<std::size_t> taken = reader.Receive(HeadWithLength(length) + body);
+      BOOST_REQUIRE_MESSAGE(!taken.has_value(), length);
+      BOOST_TEST((taken.error().code_ == make_error_code(Errc::kTooLarge)), length);
+    }
+  }
+}
+
+// Guards against memory that upstreams can take by declaring a body of legal size.
+BOOST_AUTO_TEST_CASE(ALengthTakesNoMemoryBeforeTheBodyArrives) {
+  constexpr std::size_t kLimit = 64U << 20U;
+  constexpr std::size_t kMaxReserved = 1U << 20U;
+  ResponseReader reader(kLimit);
+  BOOST_REQUIRE(reader.Receive(HeadWithLength(std::to_string(kLimit)) + "some bytes").has_value());
+  BOOST_TEST(!reader.IsComplete());
+  BOOST_TEST(reader.BufferedBytes() <= kMaxReserved);
+}
+
+// Guards against a valid response that is refused for the length of a body that it doesn't have.
+BOOST_AUTO_TEST_CASE(ALengthOfAResponseWithoutABodyIsIgnored) {
+  ResponseReader reader(kMaxBodyBytes);
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 9007199254740992\r\n\r\n";
+  BOOST_REQUIRE(reader.Receive(interim + kValidResponse).has_value());
+  BOOST_TEST(reader.IsComplete());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace sassafrasbay
--- a/Tests/Soak/test_upstream_statuses.cc
+++ b/Tests/Soak/test_upstream_statuses.cc
@@ -23,7 +23,7 @@
       stubs_.push_back(std::make_unique<StubUpstream>(loop_, fleet_.Vms()[node].host_, kStubPort));
       stubs_.back()->answer_ = [this](int, const std::string& id) {
         return status_line_ + "\r\n" + std::string(platform::kRequestIdHeader) + ": " + id +
-               "\r\nContent-Length: 0\r\n\r\n";
+               "\r\nContent-Length: " + length_ + "\r\n\r\n" + body_;
       };
     }
   }
@@ -57,7 +57,9 @@
     return connections;
   }
 
-  std::string status_line_;
+  std::string status_line_ = "HTTP/1.1 200 OK";
+  std::string length_ = "0";
+  std::string body_;
   std::vector<std::unique_ptr<StubUpstream>> stubs_;
   int calls_ = 0;
 };
@@ -104,6 +106,23 @@
   }
 }
 
+// Guards against a process that ends, with the requests of all its callers, because an upstream
+// declares a body far above any limit.
+BOOST_AUTO_TEST_CASE(ALengthOverTheLimitEndsNoProcess) {
+  for (const std::string length : {"30000000000", "9007199254740992"}) {
+    length_ = length;
+    body_ = "some bytes";
+    for (const std::size_t node : kNodes) {
+      BOOST_TEST(Book(node) == kBadGateway, length << " at node " << node);
+    }
+  }
+  length_ = "0";
+  body_.clear();
+  for (const std::size_t node : kNodes) {
+    BOOST_TEST(Book(node) == kOk);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
