--- a/Libraries/LibOwnership/fleet_records.cc
+++ b/Libraries/LibOwnership/fleet_records.cc
@@ -25,7 +25,8 @@
     value[kLeavingField] = record.leaving_->instance_;
     value[kLastBornField] = record.leaving_->last_born_ms_;
   }
-  return value.dump();
+  // Texts from other nodes aren't checked for valid UTF-8, without which dump would throw.
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Result<NodeRecord> DecodeNodeRecord(std::string_view text) {
--- a/Services/sassafrasbay/operator_api.cc
+++ b/Services/sassafrasbay/operator_api.cc
@@ -15,7 +15,8 @@
 using nlohmann::json;
 
 HttpResponse IndentedResponse(int status, const json& body) {
-  return JsonResponse(status, body.dump(2) + "\n");
+  // Texts of queries aren't checked for valid UTF-8, without which dump would throw.
+  return JsonResponse(status, body.dump(2, ' ', false, json::error_handler_t::replace) + "\n");
 }
 
 HttpResponse ErrorResponse(int status, std::string_view message) {
--- a/Tests/Integration/test_bad_input.cc
+++ b/Tests/Integration/test_bad_input.cc
@@ -145,6 +145,9 @@
     BOOST_TEST(CallStatus(port, "POST", "/-/announce", body) == 400);
   }
   BOOST_TEST(CallStatus(port, "GET", "/-/explain?service=%zz&key=%") >= 400);
+  // Bytes that aren't UTF-8 can't be repeated in a JSON answer as they are.
+  BOOST_TEST(CallStatus(port, "GET", "/-/explain?service=%ff&key=%fe") >= 400);
+  BOOST_TEST(CallStatus(port, "GET", "/-/explain?service=bench&key=%fe") >= 200);
   CheckServing(*fleet);
 }
 
--- a/Tests/LibOwnership/test_fleet_records.cc
+++ b/Tests/LibOwnership/test_fleet_records.cc
@@ -66,6 +66,12 @@
   }
 }
 
+// Guards against a process that ends because another node names an id that is not UTF-8.
+BOOST_AUTO_TEST_CASE(AnIdThatIsNoTextIsEncoded) {
+  const std::string text = EncodeNodeRecord({"dc", "life", LeavingUpstream{"i-\xff", 1}});
+  BOOST_TEST(DecodeNodeRecord(text).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(RegistrationsKeepTheUpstreamThatLeaves) {
   const LeavingUpstream leaving{"i-1", 100};
   const auto record = DecodeNodeRecord(EncodeNodeRecord({"dc-1", "a1", leaving}));
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -3,8 +3,12 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "LibOwnership/fleet_records.h"
+#include "LibTransport/upstream_client.h"
 #include "Soak/keys_fixture.h"
 #include "platform/wire_names.h"
 #include "router/key_table_writer.h"
@@ -169,6 +173,32 @@
   CheckKeyStays(vm, key);
 }
 
+// Guards against a process that ends because the id of another writer can't be recorded.
+BOOST_AUTO_TEST_CASE(OddIdsEndNoProcess) {
+  const Vm& vm = fleet_.Vms()[0];
+  const HttpCall foreign = ForeignHeartbeat(vm);
+  for (const std::string id : {"\xff\xfe", "i-\xc3", "\xed\xa0\x80", "i-\xe9"}) {
+    for (const std::string suffix : {"/leave", "/heartbeat"}) {
+      UpstreamCall call;
+      call.request_ = foreign.request_;
+      call.request_.path_ = "/-/instances/" + id + suffix;
+      call.request_.headers_.emplace_back("Host", "node");
+      // libcurl would encode the bytes of the path.
+      UpstreamClient client(loop_);
+      client.SetAddress(foreign.base_url_.substr(std::string_view("http://").size()));
+      int status = 0;
+      client.Start(std::move(call), [&](const UpstreamResult& result) {
+        status = result.response_ ? result.response_.value().status_ : 0;
+        loop_.Stop();
+      });
+      loop_.Run();
+      BOOST_TEST(status == kNotFound);
+    }
+  }
+  RunFor(kSettlingTime);
+  BOOST_TEST(vm.process_->IsRunning());
+}
+
 // Guards against keys that stay without a holder for a further heartbeat interval after all VMs
 // have lost power: the first heartbeat of the next incarnation alone doesn't prove that the earlier
 // one has ended, but its port does.
--- a/Tests/platform/test_heartbeat_codec.cc
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -83,7 +83,8 @@
   BOOST_TEST(!beat->is_leave_);
   BOOST_TEST(ParseInstancePath("/-/instances/i-1/leave")->is_leave_);
   for (const std::string_view path :
-       {"/-/instances/i-1", "/-/instances//leave", "/-/instances/i-1/other", "/-/ready", "/"}) {
+       {"/-/instances/i-1", "/-/instances//leave", "/-/instances/i-1/other", "/-/ready", "/",
+        "/-/instances/i-\xff/leave", "/-/instances/\xc3\xa9/leave", "/-/instances/i 1/leave"}) {
     BOOST_TEST(!ParseInstancePath(path).has_value(), path);
   }
 }
