platform: Require all fields of a heartbeat, and the upstream's own address

Cause: the codec read only the fields that the product uses, and took a missing born or cold-left for zero. Nothing compared the address with that in the settings.

Change: every field that the platform names is required with its type. The control thread refuses a heartbeat whose address or data centre isn't the node's own, and one without the lists of keys if its service is divided by key.

--- a/Libraries/LibOwnership/heartbeat.h
+++ b/Libraries/LibOwnership/heartbeat.h
@@ -18,9 +18,12 @@
   std::uint64_t sequence_ = 0;  ///< Increases with each heartbeat of an incarnation.
   std::string service_;
   std::string address_;  ///< "ip:port".
+  std::string data_centre_;
+  std::string version_;  ///< Of the upstream's software.
   std::uint32_t slots_ = 1;
   bool draining_ = false;
   milliseconds warmup_remaining_{0};    ///< Time until the upstream serves at full speed.
+  bool lists_keys_ = false;             ///< It states which keys it holds and has released.
   std::vector<HeldRange> held_;         ///< Ranges that the upstream holds or still works on.
   std::vector<ReleasedKeys> released_;  ///< Keys of moving ranges that it has stopped serving.
 };
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -50,18 +50,13 @@
 void ControlThread::OnHeartbeat(const std::shared_ptr<HttpExchange>& exchange,
                                 std::string_view instance) {
   auto heartbeat = platform::DecodeHeartbeat(instance, exchange->Request().body_);
-  if (!heartbeat) {
+  const std::string fault =
+      heartbeat ? std::string(FindFault(heartbeat.value())) : ToString(heartbeat.error());
+  if (!fault.empty()) {
     shared_.metrics_.Count("sassafrasbay_heartbeats_rejected_total");
-    LogWarning(kPart, "heartbeat rejected reason=\"" + ToString(heartbeat.error()) + "\".");
-    exchange->Respond({kBadRequest, {}, ToString(heartbeat.error()) + "\n"});
-    return;
-  }
-  if (!IsKnownService(heartbeat.value().service_)) {
-    shared_.metrics_.Count("sassafrasbay_heartbeats_rejected_total");
-    LogWarning(kPart, "heartbeat rejected instance=" + std::string(instance) +
-                          " service=" + heartbeat.value().service_ +
-                          " reason=\"no configuration in force names the service\".");
-    exchange->Respond({kBadRequest, {}, "unknown service\n"});
+    LogWarning(kPart, "heartbeat rejected instance=" + std::string(instance) + " reason=\"" +
+                          fault + "\".");
+    exchange->Respond({kBadRequest, {}, fault + "\n"});
     return;
   }
   const BootTime now = BootClock::now();
@@ -145,11 +140,24 @@
   return table != nullptr && ExpectsRanges(*table, MakeView(table->service_));
 }
 
-// Another writer's heartbeat would pass for a new incarnation, and the keys of the upstream that is
-// up would go to others.
-bool ControlThread::IsKnownService(const std::string& service) const {
-  return service == shared_.environment_.service_ ||
-         (routes_ != nullptr && routes_->services_.contains(service));
+// Heartbeats of other writers must not pass for a new incarnation.
+std::string_view ControlThread::FindFault(const UpstreamHeartbeat& heartbeat) const {
+  const platform::NodeEnvironment& environment = shared_.environment_;
+  const bool is_known = heartbeat.service_ == environment.service_ ||
+                        (routes_ != nullptr && routes_->services_.contains(heartbeat.service_));
+  if (!is_known) {
+    return "no configuration in force names the service";
+  }
+  if (heartbeat.address_ != environment.upstream_) {
+    return "the address isn't that of the upstream beside this node";
+  }
+  if (heartbeat.data_centre_ != environment.data_centre_) {
+    return "the data centre isn't that of this node";
+  }
+  if (routes_ != nullptr && IsSharded(heartbeat.service_) && !heartbeat.lists_keys_) {
+    return "the keys that are held and released are missing";
+  }
+  return {};
 }
 
 std::optional<ColdStartTerms> ControlThread::ColdStartTermsOf(const std::string& service) const {
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibOwnership/history_settlement.h"
@@ -154,8 +155,8 @@
   bool OwnsKeysOfEarlierIncarnation() const;
   HeartbeatAnswer MakeHeartbeatAnswer() const;
   bool ShouldDelayAnswer() const;
-  /// Whether the settings or the configuration in force name the service.
-  bool IsKnownService(const std::string& service) const;
+  /// Why the heartbeat can't be one of the upstream beside this node; empty if it can.
+  std::string_view FindFault(const UpstreamHeartbeat& heartbeat) const;
   bool IsSharded(const std::string& service) const;
   /// Limits on cold upstreams of the service; nothing if the configuration sets none.
   std::optional<ColdStartTerms> ColdStartTermsOf(const std::string& service) const;
--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -173,6 +173,30 @@
   CheckKeyStays(vm, key);
 }
 
+// Guards against the same by a heartbeat in which a field is missing, or that names another
+// upstream than the one beside the node.
+BOOST_AUTO_TEST_CASE(IncompleteAndMisdirectedHeartbeatsAreRejected) {
+  const Vm& vm = fleet_.Vms()[0];
+  const HttpCall foreign = ForeignHeartbeat(vm);
+  const nlohmann::json complete = nlohmann::json::parse(foreign.request_.body_);
+  std::vector<nlohmann::json> bodies;
+  for (const char* field :
+       {"/born", "/info/version", "/info/zone", "/status/cold-left", "/holds", "/freed", "/addr"}) {
+    bodies.push_back(complete);
+    bodies.back()[nlohmann::json::json_pointer(field)] = nullptr;
+    bodies.push_back(complete.patch({{{"op", "remove"}, {"path", field}}}));
+  }
+  for (const auto& [field, value] : {std::pair("/addr", "127.0.0.1:1"), {"/info/zone", "other"}}) {
+    bodies.push_back(complete);
+    bodies.back()[nlohmann::json::json_pointer(field)] = value;
+  }
+  for (const nlohmann::json& body : bodies) {
+    HttpCall call = foreign;
+    call.request_.body_ = body.dump();
+    BOOST_TEST(Get(call).response_.value().status_ == 400, body.dump());
+  }
+}
+
 // Guards against a process that ends because the id of another writer can't be recorded.
 BOOST_AUTO_TEST_CASE(OddIdsEndNoProcess) {
   const Vm& vm = fleet_.Vms()[0];
--- a/Tests/platform/test_heartbeat_codec.cc
+++ b/Tests/platform/test_heartbeat_codec.cc
@@ -36,16 +36,48 @@
     text.replace(text.find(from), from.size(), to);
     return text;
   };
-  for (const std::string& text :
-       {std::string(), std::string("null"), std::string("{\"addr\":1}"),
-        with("\"ready\"", "\"resting\""), with("1700000000123", "1700000000123.5"),
-        with("1700000000123", "\"1700000000123\""), with("\"service\":\"s1\",", ""),
-        with("\"sequence\":4", "\"sequence\":\"4\""), with("[0,4095,7]", "[4095,0,7]"),
-        with("[0,4095,7]", "[0,65536,7]"), with("[0,4095,7]", "[0,4095]")}) {
+  for (const std::string& text : {std::string(),
+                                  std::string("null"),
+                                  std::string("{\"addr\":1}"),
+                                  with("\"ready\"", "\"resting\""),
+                                  with("1700000000123", "1700000000123.5"),
+                                  with("1700000000123", "\"1700000000123\""),
+                                  with("\"service\":\"s1\",", ""),
+                                  with("\"born\":1700000000123,", ""),
+                                  with("\"version\":\"v1\",", ""),
+                                  with("\"version\":\"v1\"", "\"version\":[\"v1\"]"),
+                                  with("\"zone\":\"z\",", ""),
+                                  with("\"zone\":\"z\"", "\"zone\":null"),
+                                  with(",\"capacity\":13", ""),
+                                  with("\"sequence\":4,", ""),
+                                  with(",\"cold-left\":\"250ms\"", ""),
+                                  with("\"250ms\"", "250"),
+                                  with("\"250ms\"", "\"soon\""),
+                                  with("[[0,4095,7]]", "{}"),
+                                  with("[[0,4095,7]]", "null"),
+                                  with("[[4096,8191,\"5c0e\"]]", "7"),
+                                  with("\"sequence\":4", "\"sequence\":\"4\""),
+                                  with("[0,4095,7]", "[4095,0,7]"),
+                                  with("[0,4095,7]", "[0,65536,7]"),
+                                  with("[0,4095,7]", "[0,4095]")}) {
     BOOST_TEST(!DecodeHeartbeat("i-1", text).has_value(), text);
   }
 }
 
+// Guards against a heartbeat without the lists of keys, as upstreams without keys send it, that
+// can't be told from one of an upstream that holds none.
+BOOST_AUTO_TEST_CASE(MissingListsOfKeysAreReported) {
+  BOOST_TEST(DecodeHeartbeat("i-1", kHeartbeat).value().lists_keys_);
+  for (const std::string_view list :
+       {",\n        \"holds\":[[0,4095,7]]", ",\"freed\":[[4096,8191,\"5c0e\"]]"}) {
+    std::string text(kHeartbeat);
+    text.erase(text.find(list), list.size());
+    const auto heartbeat = DecodeHeartbeat("i-1", text);
+    BOOST_REQUIRE(heartbeat.has_value());
+    BOOST_TEST(!heartbeat.value().lists_keys_);
+  }
+}
+
 // Guards against an entry of another writer that ends the process, or is taken for an upstream,
 // since it is nested very deeply or has a number that doesn't fit.
 BOOST_AUTO_TEST_CASE(OddNumbersAndNestingAreRejected) {
