router: Take a refused connection for an exit only if none is open

Cause: a refusal of a connection and heartbeats that are 1.3 s late counted as proof that the upstream had exited. A full upstream refuses connections too, and heartbeats may be late or cut off; that others of its connections were open and in use wasn't considered.

Change: a refusal counts as a closed port only while this node, whose connections are the only ones there, has none open to the upstream, and while those that it gave up since the upstream was last heard are fewer than would fill it. The kernel ends all connections of a process that exits, so one that is open was accepted by a process that runs; a frozen upstream ends none. The same holds for what a refusal proves about crashing requests and cold starts. Refusals are counted by port="closed" or "full".

--- a/Libraries/LibOwnership/upstream_registry.cc
+++ b/Libraries/LibOwnership/upstream_registry.cc
@@ -233,8 +233,16 @@
   return is_later ? std::optional(registry.early_leave_->leaving_) : std::nullopt;
 }
 
-bool RecordConnectionRefusal(UpstreamRegistry& registry, BootTime now,
-                             milliseconds heartbeat_interval) {
+// The kernel ends all connections of a process that exits. One that is still open was accepted by a
+// process that runs, however long its heartbeats are overdue.
+bool IsPortClosed(const PortRefusal& refusal) {
+  const std::uint32_t limit =
+      std::min(refusal.slots_, refusal.max_connections_.value_or(refusal.slots_));
+  return refusal.open_connections_ == 0 &&
+         refusal.abandoned_connections_ < std::max<std::uint32_t>(limit, 1);
+}
+
+bool RecordClosedPort(UpstreamRegistry& registry, BootTime now, milliseconds heartbeat_interval) {
   if (registry.local_upstream_.has_exited_ || !registry.local_upstream_.holder_ ||
       now - registry.local_upstream_.last_heartbeat_ < heartbeat_interval * 3 / 2) {
     return false;
--- a/Libraries/LibOwnership/upstream_registry.h
+++ b/Libraries/LibOwnership/upstream_registry.h
@@ -86,11 +86,23 @@
 /// The upstream beside this node if it is known to drain or leave.
 std::optional<LeavingUpstream> FindLeaving(const UpstreamRegistry& registry);
 
-/// Records that the upstream's port refuses connections. The upstream is considered exited only
-/// when its heartbeats are overdue too, since an upstream with too many connections also refuses
-/// them. Returns true when that changes its state.
-bool RecordConnectionRefusal(UpstreamRegistry& registry, BootTime now,
-                             milliseconds heartbeat_interval);
+/// What is known when the upstream's port refuses a connection of this node, whose connections are
+/// the only ones there.
+struct PortRefusal {
+  std::size_t open_connections_ = 0;
+  /// Closed by this node, while the upstream may not have noticed.
+  std::size_t abandoned_connections_ = 0;
+  std::uint32_t slots_ = 1;
+  std::optional<std::uint32_t> max_connections_;  ///< That the upstream accepts.
+};
+
+/// Whether no process listens at the port. An upstream that runs refuses connections beyond its
+/// limit, or earlier while requests wait for its slots.
+bool IsPortClosed(const PortRefusal& refusal);
+
+/// Records that no process listens at the upstream's port. The upstream is considered exited only
+/// when its heartbeats are overdue too. Returns true when that changes its state.
+bool RecordClosedPort(UpstreamRegistry& registry, BootTime now, milliseconds heartbeat_interval);
 
 /// Records the grants in the answer to the latest heartbeat.
 void RecordGrant(UpstreamRegistry& registry, const HeartbeatAnswer& answer, BootTime now);
--- a/Libraries/LibRouting/route_table.h
+++ b/Libraries/LibRouting/route_table.h
@@ -35,8 +35,8 @@
 struct RoutedService {
   std::string name_;
   std::string health_path_;
-  /// Connections that one upstream accepts from all nodes together.
-  std::uint32_t max_connections_ = 64;
+  /// Connections that one upstream accepts; nothing when not stated.
+  std::optional<std::uint32_t> max_connections_;
   bool sharded_ = false;
   /// Time for which requests for a key are slow after the key has moved without a hand-over.
   milliseconds warm_up_{0};
--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -46,7 +46,7 @@
   int socket_ = -1;
   bool connecting_ = true;
   bool closed_ = false;
-  bool ended_ = false;               ///< The upstream sends nothing more.
+  bool ended_ = false;               ///< Closed or reset by the upstream.
   UpstreamClient::CallId call_ = 0;  ///< 0 while idle.
   std::string output_;
   std::size_t sent_ = 0;
@@ -136,6 +136,7 @@
   void OnSendTimeout(CallId id);
   void CancelTimers(const OpenCall& open);
   std::size_t PartialBytes() const;
+  HeldConnections Held() const;
   /// Frees the memory of the largest incomplete response.
   void FailLargestResponse();
   void Close(const ConnectionPointer& connection);
@@ -147,6 +148,7 @@
   std::vector<ConnectionPointer> idle_connections_;  ///< Most recently used last.
   std::vector<char> buffer_;
   CallId last_id_ = 0;
+  std::size_t abandoned_connections_ = 0;  ///< See HeldConnections.
   UpstreamClientCounts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
 };
@@ -234,6 +236,7 @@
       return connection;
     }
     counts_.unsolicited_data_ += count > 0 ? 1 : 0;
+    connection->ended_ = count == 0 || (count < 0 && errno != EAGAIN);
     Close(connection);
   }
   return nullptr;
@@ -309,6 +312,7 @@
       Watch(connection);
       return true;
     } else if (errno != EINTR) {
+      connection->ended_ = true;
       Fail(connection, SystemError(errno, "send to upstream", address_));
       return false;
     }
@@ -324,6 +328,8 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
   }
+  abandoned_connections_ = 0;
+  connection->ended_ = count <= 0;
   if (connection->call_ == 0) {
     // An idle connection was closed by the upstream or received data that belongs to no request.
     counts_.unsolicited_data_ += count > 0 ? 1 : 0;
@@ -343,7 +349,6 @@
     Fail(connection, ended.error());
     return;
   }
-  connection->ended_ = true;
   OnResponse(connection, {});
 }
 
@@ -383,6 +388,14 @@
   return bytes;
 }
 
+HeldConnections UpstreamClient::Impl::Held() const {
+  const auto connected = std::count_if(calls_.begin(), calls_.end(), [](const auto& call) {
+    const ConnectionPointer& connection = call.second.connection_;
+    return connection != nullptr && !connection->closed_ && !connection->connecting_;
+  });
+  return {idle_connections_.size() + static_cast<std::size_t>(connected), abandoned_connections_};
+}
+
 // An upstream may send a second copy of a response late, when the next request has been written
 // already. The response to that request follows the copy.
 bool UpstreamClient::Impl::SkipsResponse(const ConnectionPointer& connection,
@@ -467,6 +480,7 @@
     return;
   }
   connection->closed_ = true;
+  abandoned_connections_ += connection->connecting_ || connection->ended_ ? 0 : 1;
   loop_.Unwatch(connection->socket_);
   close(std::exchange(connection->socket_, -1));
 }
@@ -484,6 +498,7 @@
   if (impl_->address_ != address) {
     impl_->address_ = address;
     impl_->CloseIdleConnections();
+    impl_->abandoned_connections_ = 0;
   }
 }
 
@@ -513,4 +528,6 @@
   return counts;
 }
 
+HeldConnections UpstreamClient::Held() const { return impl_->Held(); }
+
 }  // namespace sassafrasbay
--- a/Libraries/LibTransport/upstream_client.h
+++ b/Libraries/LibTransport/upstream_client.h
@@ -49,6 +49,14 @@
   std::size_t partial_bytes_ = 0;       ///< Size of the incomplete responses, at present.
 };
 
+/// Connections that the upstream may count among those it has accepted.
+struct HeldConnections {
+  std::size_t open_ = 0;
+  /// Closed by the client since anything last arrived from the upstream, which may not have
+  /// noticed.
+  std::size_t abandoned_ = 0;
+};
+
 /// HTTP/1.1 client of one upstream at a time, with persistent connections. It sends each request at
 /// most once: a request is never repeated on another connection.
 class UpstreamClient {
@@ -72,6 +80,7 @@
   bool Cancel(CallId call);
 
   UpstreamClientCounts Counts() const;
+  HeldConnections Held() const;
 
  private:
   struct Impl;
--- a/Services/sassafrasbay/router/control_heartbeats.cc
+++ b/Services/sassafrasbay/router/control_heartbeats.cc
@@ -143,9 +143,7 @@
 // Heartbeats of other writers must not pass for a new incarnation.
 std::string_view ControlThread::FindFault(const UpstreamHeartbeat& heartbeat) const {
   const platform::NodeEnvironment& environment = shared_.environment_;
-  const bool is_known = heartbeat.service_ == environment.service_ ||
-                        (routes_ != nullptr && routes_->services_.contains(heartbeat.service_));
-  if (!is_known) {
+  if (heartbeat.service_ != environment.service_ && FindService(heartbeat.service_) == nullptr) {
     return "no configuration in force names the service";
   }
   if (heartbeat.address_ != environment.upstream_) {
@@ -154,29 +152,34 @@
   if (heartbeat.data_centre_ != environment.data_centre_) {
     return "the data centre isn't that of this node";
   }
-  if (routes_ != nullptr && IsSharded(heartbeat.service_) && !heartbeat.lists_keys_) {
+  if (IsSharded(heartbeat.service_) && !heartbeat.lists_keys_) {
     return "the keys that are held and released are missing";
   }
   return {};
 }
 
-std::optional<ColdStartTerms> ControlThread::ColdStartTermsOf(const std::string& service) const {
+const RoutedService* ControlThread::FindService(const std::string& service) const {
   if (routes_ == nullptr) {
-    return std::nullopt;
+    return nullptr;
   }
   const auto found = routes_->services_.find(service);
-  if (found == routes_->services_.end() || !found->second.cold_per_second_) {
+  return found == routes_->services_.end() ? nullptr : &found->second;
+}
+
+std::optional<ColdStartTerms> ControlThread::ColdStartTermsOf(const std::string& service) const {
+  const RoutedService* found = FindService(service);
+  if (found == nullptr || !found->cold_per_second_) {
     return std::nullopt;
   }
   const platform::NodeEnvironment& environment = shared_.environment_;
-  return ColdStartTerms{found->second.cold_start_.value_or(milliseconds(0)),
-                        *found->second.cold_per_second_ * std::min(1.0, environment.cold_excess_),
+  return ColdStartTerms{found->cold_start_.value_or(milliseconds(0)),
+                        *found->cold_per_second_ * std::min(1.0, environment.cold_excess_),
                         environment.cold_slack_};
 }
 
 bool ControlThread::IsSharded(const std::string& service) const {
-  const auto found = routes_->services_.find(service);
-  return found != routes_->services_.end() && found->second.sharded_;
+  const RoutedService* found = FindService(service);
+  return found != nullptr && found->sharded_;
 }
 
 HeartbeatAnswer ControlThread::MakeHeartbeatAnswer() const {
@@ -203,12 +206,10 @@
 }
 
 const RoutedService* ControlThread::FindProbedService(const std::string& service) const {
-  if (routes_ == nullptr || IsEvacuated(shared_.environment_.data_centre_)) {
-    return nullptr;
-  }
-  const auto found = routes_->services_.find(service);
-  return found == routes_->services_.end() || found->second.health_path_.empty() ? nullptr
-                                                                                 : &found->second;
+  const RoutedService* found = FindService(service);
+  const bool may_probe = found != nullptr && !found->health_path_.empty() &&
+                         !IsEvacuated(shared_.environment_.data_centre_);
+  return may_probe ? found : nullptr;
 }
 
 // Without keys at stake, a wrong answer costs less than a health check at each start of an
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -125,12 +125,11 @@
       demand_[demand.address_] = {demand, BootClock::now()};
     });
   };
-  callbacks.upstream_connection_refused_ = [this] {
+  callbacks.upstream_port_closed_ = [this] {
     loop_.Post([this] {
-      if (RecordConnectionRefusal(registry_, BootClock::now(),
-                                  shared_.environment_.heartbeat_interval_)) {
+      if (RecordClosedPort(registry_, BootClock::now(), shared_.environment_.heartbeat_interval_)) {
         LogInfo(kPart, "upstream=" + registry_.local_upstream_.holder_->instance_ +
-                           " refuses connections and sends no heartbeats; treated as stopped.");
+                           " has closed its port and sends no heartbeats; treated as stopped.");
         ScheduleUpdate();
       }
     });
@@ -369,6 +368,9 @@
     upstream->service_ = registry_.newest_->service_;
     upstream->address_ = shared_.environment_.upstream_;
     upstream->slots_ = own.slots_;
+    if (const RoutedService* service = FindService(upstream->service_)) {
+      upstream->max_connections_ = service->max_connections_;
+    }
     upstream->leaving_ = own.draining_ || own.has_left_;
     upstream->evacuated_ = IsEvacuated(shared_.environment_.data_centre_);
     upstream->accepts_requests_ = !upstream->leaving_ && !own.has_exited_ && !upstream->evacuated_;
--- a/Services/sassafrasbay/router/control_thread.h
+++ b/Services/sassafrasbay/router/control_thread.h
@@ -157,6 +157,8 @@
   bool ShouldDelayAnswer() const;
   /// Why the heartbeat can't be one of the upstream beside this node; empty if it can.
   std::string_view FindFault(const UpstreamHeartbeat& heartbeat) const;
+  /// The service in the configuration in force; null if it has none.
+  const RoutedService* FindService(const std::string& service) const;
   bool IsSharded(const std::string& service) const;
   /// Limits on cold upstreams of the service; nothing if the configuration sets none.
   std::optional<ColdStartTerms> ColdStartTermsOf(const std::string& service) const;
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -43,6 +43,7 @@
   std::string service_;
   std::string address_;
   std::uint32_t slots_ = 1;
+  std::optional<std::uint32_t> max_connections_;  ///< As configured for its service.
   bool accepts_requests_ = false;  ///< Neither draining, leaving, stopped nor evacuated.
   bool leaving_ = false;           ///< Draining or leaving.
   bool evacuated_ = false;         ///< Its data centre is evacuated; nothing is sent to it.
@@ -103,7 +104,7 @@
   std::function<void(StateTransfer)> state_received_;
   std::function<void(TableRecord)> record_received_;
   std::function<void(DemandReport)> demand_received_;
-  std::function<void()> upstream_connection_refused_;  ///< By the local upstream.
+  std::function<void()> upstream_port_closed_;  ///< No process listens there.
   /// A response of the local upstream announces that it leaves.
   std::function<void(Holder)> upstream_leaving_;
 };
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -65,7 +65,7 @@
   hooks.on_incoming_closed_ = [this](ConnectionId connection) { OnIncomingClosed(connection); };
   hooks.awaited_answers_ = [this] { return router_.AwaitedOn(); };
   SASSAFRASBAY_TRY(links_.Listen(std::move(hooks)));
-  gate_.SetHooks({[this] { control_.upstream_connection_refused_(); },
+  gate_.SetHooks({[this] { control_.upstream_port_closed_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); },
                   [this](const Holder& holder) { control_.upstream_leaving_(holder); },
                   [this] { return links_.PendingBulkBytes(); }});
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibCore/logging.h"
+#include "LibOwnership/upstream_registry.h"
 #include "platform/request_translation.h"
 
 namespace sassafrasbay {
@@ -272,10 +273,7 @@
     RemoveSent(cold_start_, queue_.rate_limit_, open.started_);
   }
   if (result.refused_) {
-    RecordUpstreamStop(cold_start_, now);
-    refused_until_ = now + kRefusedConnectionBackoff;
-    ConfirmCrash("connection refused");
-    hooks_.on_connection_refused_();
+    OnConnectionRefused(open);
     return;
   }
   if (result.maybe_sent_ && result.response_.error().code_ != make_error_code(Errc::kTimedOut)) {
@@ -283,6 +281,26 @@
   }
 }
 
+void UpstreamGate::OnConnectionRefused(const OpenRequest& open) {
+  const BootTime now = BootClock::now();
+  refused_until_ = now + kRefusedConnectionBackoff;
+  const HeldConnections held = client_.Held();
+  const bool is_closed =
+      IsPortClosed({held.open_, held.abandoned_, upstream_->slots_, upstream_->max_connections_});
+  shared_.metrics_.Count("sassafrasbay_upstream_refusals_total",
+                         is_closed ? R"(port="closed")" : R"(port="full")");
+  LogInfo(kPart, "request=" + open.request_.request_id_ +
+                     " upstream=" + upstream_->holder_.instance_ + " refuses connections open=" +
+                     std::to_string(held.open_) + " abandoned=" + std::to_string(held.abandoned_) +
+                     " port=" + (is_closed ? "closed." : "full."));
+  if (!is_closed) {
+    return;
+  }
+  RecordUpstreamStop(cold_start_, now);
+  ConfirmCrash("port closed");
+  hooks_.on_port_closed_();
+}
+
 void UpstreamGate::ConfirmCrash(std::string_view evidence) {
   const BootTime now = BootClock::now();
   std::vector<std::uint64_t> fingerprints;
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -38,7 +38,8 @@
   using AnswerHandler = std::function<void(ForwardedAnswer)>;
 
   struct Hooks {
-    std::function<void()> on_connection_refused_;
+    /// Called when no process listens at the upstream's port.
+    std::function<void()> on_port_closed_ = [] {};
     std::function<void(const Suspect&)> on_suspect_;  ///< For broadcast to other nodes.
     /// Called when a response announces that the upstream leaves.
     std::function<void(const Holder&)> on_leaving_ = [](const Holder&) {};
@@ -111,6 +112,7 @@
   /// Records the load that the response states. `accepted` is false if it rejects the request.
   void RecordLoad(const HttpResponse& response, bool accepted);
   void OnUpstreamLost(const OpenRequest& open, const UpstreamResult& result);
+  void OnConnectionRefused(const OpenRequest& open);
   void Refuse(RequestNumber number, RefusalReason reason, milliseconds retry_after);
   void Answer(const OpenRequest& open, ForwardedAnswer answer);
   /// Records the wait of a request that starts now, if it has waited.
--- a/Tests/LibOwnership/test_upstream_registry.cc
+++ b/Tests/LibOwnership/test_upstream_registry.cc
@@ -125,11 +125,43 @@
 // The next incarnation serves from its first heartbeat on if the port has proved the exit.
 BOOST_AUTO_TEST_CASE(AnUpstreamWithARefusingPortIsReplacedAtOnce) {
   Record("i-1", 100, 7, 0);
-  BOOST_TEST(RecordConnectionRefusal(registry_, At(1400), milliseconds(870)));
+  BOOST_TEST(RecordClosedPort(registry_, At(1400), milliseconds(870)));
   BOOST_TEST((Record("i-2", 200, 1, 1500) == HeartbeatEffect::kNewIncarnation));
   BOOST_TEST(ConfirmedBornMs(registry_) == 200);
 }
 
+// Guards against two owners of a key (OWNER): an upstream without heartbeats, with all the
+// connections that it accepts, refused one more, and counted as exited while it held its keys.
+BOOST_AUTO_TEST_CASE(AFullUpstreamHasNotClosedItsPort) {
+  constexpr std::uint32_t kSlots = 18;
+  constexpr std::uint32_t kMaxConnections = 12;
+  // All its connections are open, or fewer while requests wait for its slots.
+  BOOST_TEST(!IsPortClosed({12, 0, kSlots, kMaxConnections}));
+  BOOST_TEST(!IsPortClosed({1, 0, kSlots, kMaxConnections}));
+  // It is frozen, and this node has given up all requests on them.
+  BOOST_TEST(!IsPortClosed({0, 12, kSlots, kMaxConnections}));
+  BOOST_TEST(!IsPortClosed({0, 18, kSlots, std::nullopt}));
+  BOOST_TEST(!IsPortClosed({0, 1, 1, kMaxConnections}));
+}
+
+// Guards against an upstream that is replaced later than needed after a crash, which ends its
+// connections, also if some had been given up shortly before.
+BOOST_AUTO_TEST_CASE(ACrashedUpstreamHasClosedItsPort) {
+  BOOST_TEST(IsPortClosed({0, 0, 1, std::nullopt}));
+  BOOST_TEST(IsPortClosed({0, 0, 18, 130}));
+  BOOST_TEST(IsPortClosed({0, 11, 18, 12}));
+  BOOST_TEST(IsPortClosed({0, 17, 18, 130}));
+}
+
+// A closed port alone proves nothing while heartbeats arrive.
+BOOST_AUTO_TEST_CASE(AClosedPortCountsOnceHeartbeatsAreOverdue) {
+  Record("i-1", 100, 7, 0);
+  BOOST_TEST(!RecordClosedPort(registry_, At(1300), milliseconds(870)));
+  BOOST_TEST(!registry_.local_upstream_.has_exited_);
+  BOOST_TEST(RecordClosedPort(registry_, At(1310), milliseconds(870)));
+  BOOST_TEST(!RecordClosedPort(registry_, At(1320), milliseconds(870)));
+}
+
 // Where no keys are at stake no health check is made: a silent upstream is replaced by the first
 // heartbeat of the next, and one that is heard by two in a row.
 BOOST_AUTO_TEST_CASE(WithoutKeysHeartbeatsDecide) {
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -298,6 +298,28 @@
 
 // Guards against a request that is reported as sent, or is sent late, when its upstream accepts no
 // connections: the queue of the listening socket is full.
+// Guards against a full upstream that passes for one that has exited: what it holds, and what it
+// may still hold, is the difference.
+BOOST_AUTO_TEST_CASE(ConnectionsThatTheUpstreamHoldsAreCounted) {
+  upstream_.answer_ = [](int number, const std::string& id) -> std::optional<std::string> {
+    return number == 2 ? std::optional<std::string>("") : Ok(id, "body");
+  };
+  BOOST_TEST(client_.Held().open_ == 0U);
+  Call("GET", "1");
+  BOOST_TEST(client_.Held().open_ == 1U);
+  // The upstream doesn't answer, so the client gives the connection up.
+  Call("GET", "2");
+  BOOST_TEST(client_.Held().open_ == 0U);
+  BOOST_TEST(client_.Held().abandoned_ == 1U);
+  Call("GET", "3");
+  BOOST_TEST(client_.Held().open_ == 1U);
+  BOOST_TEST(client_.Held().abandoned_ == 0U);
+  upstream_.close_after_answer_ = true;
+  Call("GET", "4");
+  BOOST_TEST(client_.Held().open_ == 0U);
+  BOOST_TEST(client_.Held().abandoned_ == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestThatWasNotSentIsReportedInTime) {
   const int listener = OpenListenSocket("127.0.0.1", 0).value();
   listen(listener, 0);
--- a/Tests/Services/test_upstream_gate.cc
+++ b/Tests/Services/test_upstream_gate.cc
@@ -207,7 +207,6 @@
 // its first heartbeat.
 BOOST_AUTO_TEST_CASE(UpstreamThatRefusesConnectionsIsColdUntilItsHeartbeat) {
   UpstreamGate::Hooks hooks;
-  hooks.on_connection_refused_ = [] {};
   hooks.on_suspect_ = [](const Suspect&) {};
   gate_.SetHooks(std::move(hooks));
   ReportCold(milliseconds(0));
@@ -275,6 +274,33 @@
   BOOST_TEST(leaving == std::vector<std::string>{"i-a"}, boost::test_tools::per_element());
 }
 
+// Guards against two owners of a key (OWNER), and against requests that count as crashing: an
+// upstream that refuses connections beyond its limit runs, as the open ones show.
+BOOST_AUTO_TEST_CASE(ARefusalBesideAnOpenConnectionIsNoClosedPort) {
+  int closed_ports = 0;
+  UpstreamGate::Hooks hooks;
+  hooks.on_port_closed_ = [&] { ++closed_ports; };
+  gate_.SetHooks(std::move(hooks));
+  upstream_.slots_ = 2;
+  gate_.SetUpstream(std::make_shared<UpstreamState>(upstream_));
+  service_time_ = milliseconds(200);
+  Submit("runs");
+  RunFor(milliseconds(50));
+  server_->StopAccepting();
+  Submit("refused");
+  RunFor(milliseconds(50));
+  BOOST_TEST((answers_.at("refused").outcome_ == GateOutcome::kRefused));
+  BOOST_TEST(closed_ports == 0);
+  RunFor(milliseconds(200));
+  BOOST_TEST((answers_.at("runs").outcome_ == GateOutcome::kAnswered));
+  // Its process ends, and with it the connection that was kept.
+  server_.reset();
+  RunFor(milliseconds(300));
+  Submit("after the exit");
+  RunFor(milliseconds(50));
+  BOOST_TEST(closed_ports == 1);
+}
+
 // Guards against urgent work that waits behind less urgent work at its second hop: a call inherits
 // from the request that the upstream runs, and from none that waits or has ended.
 BOOST_AUTO_TEST_CASE(RunningRequestIsFoundUntilItsAnswer) {
