router: Open no more connections than an upstream accepts

Cause: max-conns was decoded and used nowhere. Requests beyond it found their connections refused, and after each refusal the gate sends nothing for 250 ms.

Change: the gate has as many slots as the upstream accepts connections, if that is fewer. The client closes an idle connection that it can't use again for a request before it opens another at the limit. Without max-conns there is no limit.

RequestsWaitForAConnectionThatTheUpstreamAccepts failed before.

--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -136,7 +136,9 @@
   void OnSendTimeout(CallId id);
   void CancelTimers(const OpenCall& open);
   std::size_t PartialBytes() const;
-  HeldConnections Held() const;
+  /// Number of established connections.
+  std::size_t OpenConnections() const;
+  void MakeRoom();
   /// Frees the memory of the largest incomplete response.
   void FailLargestResponse();
   void Close(const ConnectionPointer& connection);
@@ -149,6 +151,7 @@
   std::vector<char> buffer_;
   CallId last_id_ = 0;
   std::size_t abandoned_connections_ = 0;  ///< See HeldConnections.
+  std::optional<std::size_t> max_connections_;
   UpstreamClientCounts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
 };
@@ -242,7 +245,16 @@
   return nullptr;
 }
 
+// An idle connection that isn't reused for this call still counts at the upstream.
+void UpstreamClient::Impl::MakeRoom() {
+  while (max_connections_ && !idle_connections_.empty() && OpenConnections() >= *max_connections_) {
+    Close(idle_connections_.front());
+    idle_connections_.erase(idle_connections_.begin());
+  }
+}
+
 ConnectionPointer UpstreamClient::Impl::Open(CallId id) {
+  MakeRoom();
   const Result<int> socket = OpenConnectingSocket(address_);
   if (!socket) {
     loop_.Post([this, alive = alive_, id, error = socket.error()] {
@@ -388,12 +400,12 @@
   return bytes;
 }
 
-HeldConnections UpstreamClient::Impl::Held() const {
+std::size_t UpstreamClient::Impl::OpenConnections() const {
   const auto connected = std::count_if(calls_.begin(), calls_.end(), [](const auto& call) {
     const ConnectionPointer& connection = call.second.connection_;
     return connection != nullptr && !connection->closed_ && !connection->connecting_;
   });
-  return {idle_connections_.size() + static_cast<std::size_t>(connected), abandoned_connections_};
+  return idle_connections_.size() + static_cast<std::size_t>(connected);
 }
 
 // An upstream may send a second copy of a response late, when the next request has been written
@@ -502,6 +514,10 @@
   }
 }
 
+void UpstreamClient::SetMaxConnections(std::optional<std::size_t> connections) {
+  impl_->max_connections_ = connections;
+}
+
 UpstreamClient::CallId UpstreamClient::Start(UpstreamCall call, Callback callback) {
   return impl_->Start(std::move(call), std::move(callback));
 }
@@ -528,6 +544,8 @@
   return counts;
 }
 
-HeldConnections UpstreamClient::Held() const { return impl_->Held(); }
+HeldConnections UpstreamClient::Held() const {
+  return {impl_->OpenConnections(), impl_->abandoned_connections_};
+}
 
 }  // namespace sassafrasbay
--- a/Libraries/LibTransport/upstream_client.h
+++ b/Libraries/LibTransport/upstream_client.h
@@ -72,6 +72,10 @@
   /// Sets the upstream's "host:port". A change closes idle connections; open calls continue.
   void SetAddress(std::string_view address);
 
+  /// Sets how many connections the upstream accepts; nothing for any number. At that number an idle
+  /// one is closed before another is opened. Callers limit the calls that run at the same time.
+  void SetMaxConnections(std::optional<std::size_t> connections);
+
   /// Starts a call. The callback runs once on the loop's thread, never from within Start.
   CallId Start(UpstreamCall call, Callback callback);
 
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -67,7 +67,9 @@
     cold_start_.watched_since_ = BootClock::now();
   }
   RecordColdReport(cold_start_, upstream->cold_until_, upstream->heartbeat_at_);
-  queue_.slots_ = upstream->slots_;
+  // Requests beyond the limit would find their connections refused.
+  queue_.slots_ = std::min(upstream->slots_, upstream->max_connections_.value_or(upstream->slots_));
+  client_.SetMaxConnections(upstream->max_connections_);
   if (BootClock::now() < upstream->granted_until_) {
     // Demand on keys that have moved away would make this upstream look busy.
     RetainKeys(key_load_, [this](std::uint32_t key) { return IsGranted(key); });
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -320,6 +320,20 @@
   BOOST_TEST(client_.Held().abandoned_ == 0U);
 }
 
+// Guards against connections beyond what the upstream accepts, since idle ones aren't used again
+// for every request.
+BOOST_AUTO_TEST_CASE(IdleConnectionsMakeRoomAtTheLimit) {
+  client_.SetMaxConnections(2);
+  upstream_.answer_ = [](int, const std::string& id) {
+    return "HTTP/1.1 503 Full\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+  };
+  for (int i = 0; i < 5; ++i) {
+    Call("GET", "1");  // A failed request isn't sent again over the same connection.
+    BOOST_TEST(client_.Held().open_ <= 2U);
+  }
+  BOOST_TEST(upstream_.connections_ == 5);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestThatWasNotSentIsReportedInTime) {
   const int listener = OpenListenSocket("127.0.0.1", 0).value();
   listen(listener, 0);
--- a/Tests/Services/test_upstream_gate.cc
+++ b/Tests/Services/test_upstream_gate.cc
@@ -301,6 +301,23 @@
   BOOST_TEST(closed_ports == 1);
 }
 
+// Load: more requests than the upstream accepts connections, though it has slots for all. Guards
+// against connections that it refuses, each of which stops all requests for a moment.
+BOOST_AUTO_TEST_CASE(RequestsWaitForAConnectionThatTheUpstreamAccepts) {
+  upstream_.slots_ = 8;
+  upstream_.max_connections_ = 3;
+  gate_.SetUpstream(std::make_shared<UpstreamState>(upstream_));
+  service_time_ = milliseconds(200);
+  for (int i = 0; i < 6; ++i) {
+    Submit(std::to_string(i));
+  }
+  RunFor(milliseconds(100));
+  BOOST_TEST(arrivals_ == 3);
+  RunFor(milliseconds(500));
+  BOOST_TEST(arrivals_ == 6);
+  BOOST_TEST(answers_.size() == 6U);
+}
+
 // Guards against urgent work that waits behind less urgent work at its second hop: a call inherits
 // from the request that the upstream runs, and from none that waits or has ended.
 BOOST_AUTO_TEST_CASE(RunningRequestIsFoundUntilItsAnswer) {
