Tests: Let the soak's targets announce the address that their node sends to

With another port in place of the target's own, as in TestUpstreamStatuses, the heartbeats named an address that isn't the upstream's in the settings. Nodes refuse those since heartbeats are checked against it.

--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -85,6 +85,7 @@
     TargetOptions options{std::string(lookup ? kLookupService : kBookingService),
                           vm.host_,
                           kTargetPort,
+                          options_.upstream_port_,
                           "dc-" + std::to_string(i % 3),
                           "http://" + HostAndPort(vm.host_, kHeartbeatPort),
                           lookup,
--- a/Tests/Soak/target.cc
+++ b/Tests/Soak/target.cc
@@ -249,7 +249,7 @@
 }
 
 std::string Target::HeartbeatBody() const {
-  Json body = {{"addr", options_.host_ + ":" + std::to_string(options_.port_)},
+  Json body = {{"addr", options_.host_ + ":" + std::to_string(options_.announced_port_)},
                {"born", born_ms_},
                {"info",
                 {{"service", options_.service_},
--- a/Tests/Soak/target.h
+++ b/Tests/Soak/target.h
@@ -21,6 +21,7 @@
   std::string service_;
   std::string host_;
   std::uint16_t port_ = 0;
+  std::uint16_t announced_port_ = 0;  ///< Where the node sends requests.
   std::string data_centre_;
   std::string node_control_url_;  ///< "http://host:port" of the node beside the target.
   bool sharded_ = false;
