LibTransport: Limit the header sections of responses that libcurl reads

A faulty target at the port of a health check, or a store, could take the memory of the process with a head without end.

Change: 64 KB for all header sections of a response, interim ones and the trailer included, as for responses to requests of callers.

Measured: HeadersBeyondTheLimitAreTooLarge failed before, passes after.

--- a/Libraries/LibTransport/http_call.cc
+++ b/Libraries/LibTransport/http_call.cc
@@ -15,6 +15,10 @@
 // Headers that libcurl adds by default. They are suppressed unless the request contains them.
 constexpr std::array<std::string_view, 2> kSuppressedDefaultHeaders = {"Accept", "Content-Type"};
 
+/// Limit of all header sections of a response, interim ones and the trailer included. Some versions
+/// of libcurl limit only each line.
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 constexpr int kNoContent = 204;
@@ -60,6 +64,11 @@
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* context) {
   auto& state = *static_cast<CallState*>(context);
   const std::string_view line(data, size * count);
+  state.header_bytes_ += line.size();
+  if (state.header_bytes_ > kMaxHeaderBytes) {
+    state.too_large_ = true;
+    return 0;
+  }
   // A status line starts a new response: discard the headers of an interim (1xx) response.
   if (line.starts_with("HTTP/")) {
     state.response_.headers_.clear();
--- a/Libraries/LibTransport/http_call.h
+++ b/Libraries/LibTransport/http_call.h
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <array>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
   std::string url_;
   std::array<char, CURL_ERROR_SIZE> error_text_{};
   HttpResponse response_;
+  std::size_t header_bytes_ = 0;  ///< Received so far, whether or not they are kept.
   bool body_started_ = false;
   bool too_large_ = false;
   bool connected_ = false;  ///< Set once a connection is ready, before the request is sent.
--- a/Tests/LibTransport/test_http_client.cc
+++ b/Tests/LibTransport/test_http_client.cc
@@ -205,6 +205,24 @@
   BOOST_TEST((result.response_.error().code_ == Errc::kTooLarge));
 }
 
+// Guards against headers without end, from a faulty store or another server, that take the memory
+// of the process. Some versions of libcurl limit only each line.
+BOOST_AUTO_TEST_CASE(HeadersBeyondTheLimitAreTooLarge) {
+  std::string fields;
+  for (int i = 0; i < 120; ++i) {
+    fields += "Name: " + std::string(1000, 'v') + "\r\n";
+  }
+  for (const std::string& text :
+       {"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n" + fields +
+            "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields + "\r\n"}) {
+    const auto result = CallScripted(text);
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST((result.error().code_ == Errc::kTooLarge));
+  }
+}
+
 // Guards against redirects being followed, which would run the request again on another server.
 BOOST_AUTO_TEST_CASE(RedirectIsReturned) {
   const auto result = CallScripted(
