LibTransport: Let large responses wait while what is held takes half the limit

Cause: responses are always taken, whatever the budget holds, since the request has run. Only connections that wait for room let the server end callers that don't read, and what waits for other nodes counted nowhere.

Change: before a response of more than 64 KB is read further, what the budget holds, messages that wait for other nodes and incomplete responses have to be below half of the limit; the other half is for copies on the way. Until then the upstream waits. One response is read in any case every 250 ms, as what holds the memory may be requests that wait for it. Callers that don't read are also ended when the budget is exceeded by responses alone.

--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -282,15 +282,18 @@
     RemoveIfClosed(number);
   }
   SetListening(true);
+  // Responses are taken beyond the limit too. Upstreams then wait in place of connections.
+  const auto is_exhausted = [this] {
+    return !context_.budget_waiters_.empty() || context_.budget_.Held() >= context_.budget_.Limit();
+  };
+  const bool exhausted = is_exhausted();
   // Also those that are now the only ones to hold bytes.
-  const bool exhausted = !context_.budget_waiters_.empty();
   ContinueWaiters();
   bool ends_more = exhausted;
-  for (int ended = 0; ended < kMaxEndsPerCheck && ends_more && !context_.budget_waiters_.empty();
-       ++ended) {
+  for (int ended = 0; ended < kMaxEndsPerCheck && ends_more && is_exhausted(); ++ended) {
     ends_more = EndLargestStalled(now);
   }
-  if (!exhausted || context_.budget_waiters_.empty()) {
+  if (!exhausted || !is_exhausted()) {
     context_.budget_.OfferLargest(this, 0);
   }
   if (context_.metrics_ != nullptr) {
--- a/Libraries/LibTransport/peer_network.cc
+++ b/Libraries/LibTransport/peer_network.cc
@@ -65,6 +65,7 @@
   bool Withdraw(ConnectionId id, std::string_view frame) override;
   bool SendBulk(ConnectionId id, std::string_view frame) override;
   std::size_t PendingBulkBytes() const override;
+  std::size_t PendingBytes() const override;
   void CountOtherTraffic(std::size_t bytes) override;
   bool Ping(ConnectionId id) override;
   void ConfirmPeer(ConnectionId id) override;
@@ -437,6 +438,14 @@
   return true;
 }
 
+std::size_t Network::PendingBytes() const {
+  std::size_t bytes = waiting_bulk_bytes_;
+  for (const auto& [id, connection] : connections_) {
+    bytes += connection->output_.size() - connection->output_start_;
+  }
+  return bytes;
+}
+
 std::size_t Network::PendingBulkBytes() const {
   const PeerConnectionPointer sending = Find(bulk_connection_);
   return waiting_bulk_bytes_ + (sending == nullptr || sending->bulk_end_ < sending->output_start_
--- a/Libraries/LibTransport/peer_network.h
+++ b/Libraries/LibTransport/peer_network.h
@@ -46,6 +46,9 @@
   /// Bytes of bulk frames that have not been written to a socket.
   virtual std::size_t PendingBulkBytes() const = 0;
 
+  /// Bytes of all frames that have not been written to a socket.
+  virtual std::size_t PendingBytes() const = 0;
+
   /// Counts bytes that this process sends over the same link by other connections.
   virtual void CountOtherTraffic(std::size_t bytes) = 0;
 
--- a/Libraries/LibTransport/upstream_client.cc
+++ b/Libraries/LibTransport/upstream_client.cc
@@ -40,6 +40,13 @@
 /// memory.
 constexpr std::size_t kMaxFailedResponses = 256;
 
+/// Time after which a response that awaits room is read again.
+constexpr milliseconds kPauseDuration{20};
+
+/// Minimum time between two responses that are read without room. What holds the memory may be
+/// requests that wait for these very responses. Callers that don't read theirs are ended faster.
+constexpr milliseconds kForcedReadInterval{250};
+
 constexpr int kFirstErrorStatus = 400;
 
 struct Connection {
@@ -128,6 +135,10 @@
   void OnConnected(const ConnectionPointer& connection);
   bool Flush(const ConnectionPointer& connection);
   void Read(const ConnectionPointer& connection);
+  /// Whether the response takes memory that isn't there now.
+  bool AwaitsRoom(const Connection& connection) const;
+  void Pause(const ConnectionPointer& connection);
+  void ResumePaused();
   void Receive(const ConnectionPointer& connection, std::string_view bytes);
   void OnResponse(const ConnectionPointer& connection, std::string_view extra_bytes);
   bool SkipsResponse(const ConnectionPointer& connection, const HttpResponse& response);
@@ -152,12 +163,18 @@
   CallId last_id_ = 0;
   std::size_t abandoned_connections_ = 0;  ///< See HeldConnections.
   std::optional<std::size_t> max_connections_;
+  std::function<bool(std::size_t)> has_room_ = [](std::size_t) { return true; };
+  std::vector<ConnectionPointer> paused_;  ///< Connections that aren't read.
+  ReactorLoop::TimerId resume_timer_ = 0;
+  CallId forced_call_ = 0;  ///< The call whose response is read without room; 0 if none ever was.
+  BootTime forced_at_{};
   UpstreamClientCounts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Checked by posted tasks.
 };
 
 UpstreamClient::Impl::~Impl() {
   *alive_ = false;
+  loop_.CancelTimer(resume_timer_);
   CloseIdleConnections();
   for (const auto& [id, call] : std::exchange(calls_, {})) {
     CancelTimers(call);
@@ -335,7 +352,41 @@
   return true;
 }
 
+bool UpstreamClient::Impl::AwaitsRoom(const Connection& connection) const {
+  return connection.call_ != 0 && connection.call_ != forced_call_ && connection.reader_ &&
+         connection.reader_->BufferedBytes() >= kMinResponseRoomBytes && !has_room_(PartialBytes());
+}
+
+void UpstreamClient::Impl::Pause(const ConnectionPointer& connection) {
+  loop_.Unwatch(connection->socket_);
+  paused_.push_back(connection);
+  if (resume_timer_ == 0) {
+    resume_timer_ = loop_.StartTimer(kPauseDuration, [this] { ResumePaused(); });
+  }
+}
+
+void UpstreamClient::Impl::ResumePaused() {
+  resume_timer_ = 0;
+  const BootTime now = BootClock::now();
+  std::erase_if(paused_, [](const ConnectionPointer& connection) { return connection->closed_; });
+  if (!paused_.empty() && !calls_.contains(forced_call_) &&
+      now - forced_at_ >= kForcedReadInterval) {
+    const auto oldest = std::min_element(
+        paused_.begin(), paused_.end(),
+        [](const auto& left, const auto& right) { return left->call_ < right->call_; });
+    forced_call_ = (*oldest)->call_;
+    forced_at_ = now;
+  }
+  for (const ConnectionPointer& connection : std::exchange(paused_, {})) {
+    Watch(connection);
+  }
+}
+
 void UpstreamClient::Impl::Read(const ConnectionPointer& connection) {
+  if (AwaitsRoom(*connection)) {
+    Pause(connection);
+    return;
+  }
   const ssize_t count = recv(connection->socket_, buffer_.data(), buffer_.size(), 0);
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
@@ -518,6 +569,10 @@
   impl_->max_connections_ = connections;
 }
 
+void UpstreamClient::SetRoom(std::function<bool(std::size_t)> has_room) {
+  impl_->has_room_ = std::move(has_room);
+}
+
 UpstreamClient::CallId UpstreamClient::Start(UpstreamCall call, Callback callback) {
   return impl_->Start(std::move(call), std::move(callback));
 }
--- a/Libraries/LibTransport/upstream_client.h
+++ b/Libraries/LibTransport/upstream_client.h
@@ -19,6 +19,9 @@
 /// Limit of all incomplete responses of a client together. The smallest VMs have 160 MB.
 inline constexpr std::size_t kMaxPartialResponseBytes = 32U << 20U;
 
+/// Size up to which a response is read in any case, so that small ones pass large ones.
+inline constexpr std::size_t kMinResponseRoomBytes = 64U << 10U;
+
 /// One request to an upstream and the options of the call.
 struct UpstreamCall {
   HttpRequest request_;
@@ -76,6 +79,11 @@
   /// one is closed before another is opened. Callers limit the calls that run at the same time.
   void SetMaxConnections(std::optional<std::size_t> connections);
 
+  /// While `has_room` returns false, responses of more than kMinResponseRoomBytes are read one by
+  /// one and slowly, so that the upstream waits. The argument is the size of all incomplete
+  /// responses.
+  void SetRoom(std::function<bool(std::size_t partial_bytes)> has_room);
+
   /// Starts a call. The callback runs once on the loop's thread, never from within Start.
   CallId Start(UpstreamCall call, Callback callback);
 
--- a/Services/sassafrasbay/router/peer_links.h
+++ b/Services/sassafrasbay/router/peer_links.h
@@ -61,6 +61,8 @@
 
   /// Bytes of large messages that wait for this VM's link.
   std::size_t PendingBulkBytes() const { return network_->PendingBulkBytes(); }
+  /// Bytes of all messages that wait for this VM's link or for a peer to read.
+  std::size_t PendingBytes() const { return network_->PendingBytes(); }
   /// Counts bytes that the link carries besides messages, such as responses to callers.
   void CountOtherTraffic(std::size_t bytes) { network_->CountOtherTraffic(bytes); }
 
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -68,7 +68,8 @@
   gate_.SetHooks({[this] { control_.upstream_port_closed_(); },
                   [this](const Suspect& suspect) { Broadcast(suspect); },
                   [this](const Holder& holder) { control_.upstream_leaving_(holder); },
-                  [this] { return links_.PendingBulkBytes(); }});
+                  [this] { return links_.PendingBulkBytes(); },
+                  [this] { return links_.PendingBytes(); }});
   SASSAFRASBAY_TRY(OpenPorts());
   loop_.StartRepeatingTimer(kReportCheckInterval, [this] {
     SendDueReports();
--- a/Services/sassafrasbay/router/upstream_gate.h
+++ b/Services/sassafrasbay/router/upstream_gate.h
@@ -45,6 +45,8 @@
     std::function<void(const Holder&)> on_leaving_ = [](const Holder&) {};
     /// Bytes of responses that wait for the link.
     std::function<std::size_t()> pending_bulk_bytes_ = [] { return std::size_t{0}; };
+    /// Bytes of messages that wait for the link or for other nodes.
+    std::function<std::size_t()> pending_bytes_ = [] { return std::size_t{0}; };
   };
 
   UpstreamGate(ReactorLoop& loop, RouterShared& shared);
--- a/Tests/Hostile/test_hostile_clients.cc
+++ b/Tests/Hostile/test_hostile_clients.cc
@@ -3,12 +3,12 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <filesystem>
-#include <fstream>
 #include <iterator>
 #include <string>
 #include <utility>
 
 #include "Hostile/crowd.h"
+#include "Hostile/process_usage.h"
 #include "Hostile/scripts.h"
 #include "Soak/fleet_fixture.h"
 #include "platform/wire_names.h"
@@ -71,20 +71,6 @@
                            {"idle-timeout", "1s"}}};
 }
 
-/// Highest resident memory of the process so far; 0 if the process has ended.
-std::uint64_t PeakResidentKib(pid_t process) {
-  std::ifstream status("/proc/" + std::to_string(process) + "/status");
-  std::string word;
-  std::uint64_t kib = 0;
-  while (status >> word) {
-    if (word == "VmHWM:") {
-      status >> kib;
-      break;
-    }
-  }
-  return kib;
-}
-
 std::size_t OpenDescriptors(pid_t process) {
   std::error_code error;
   const std::filesystem::directory_iterator entries("/proc/" + std::to_string(process) + "/fd",
--- a/Tests/LibTransport/stub_upstream.h
+++ b/Tests/LibTransport/stub_upstream.h
@@ -46,6 +46,8 @@
   bool close_after_answer_ = false;
   /// Bytes sent every millisecond after an answer until the client closes the connection.
   std::size_t endless_bytes_ = 0;
+  std::string endless_text_;  ///< Sent in place of these, if not empty.
+  std::function<bool()> is_endless_ = [] { return true; };
   int requests_ = 0;
   int connections_ = 0;
 
@@ -77,17 +79,18 @@
     }
     if (!bytes || close_after_answer_) {
       Close(socket);
-    } else if (endless_bytes_ > 0) {
+    } else if ((endless_bytes_ > 0 || !endless_text_.empty()) && is_endless_()) {
       SendEndlessly(socket);
     }
   }
 
   void SendEndlessly(int socket) {
     loop_.StartTimer(milliseconds(1), [this, socket] {
-      if (std::find(sockets_.begin(), sockets_.end(), socket) == sockets_.end()) {
+      if (!is_endless_() || std::find(sockets_.begin(), sockets_.end(), socket) == sockets_.end()) {
         return;
       }
-      const std::string bytes(endless_bytes_, 'x');
+      const std::string bytes =
+          endless_text_.empty() ? std::string(endless_bytes_, 'x') : endless_text_;
       send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
       SendEndlessly(socket);
     });
--- a/Tests/LibTransport/test_upstream_client.cc
+++ b/Tests/LibTransport/test_upstream_client.cc
@@ -122,6 +122,49 @@
   BOOST_TEST(client_.Counts().partial_bytes_ == 0U);
 }
 
+// Load: large responses while the memory is taken. Guards against a process that outgrows its
+// machine, and against responses that are never read: what takes the memory may wait for them.
+BOOST_AUTO_TEST_CASE(LargeResponsesAreReadOneByOneWithoutRoom) {
+  constexpr int kCalls = 3;
+  bool has_room = false;
+  std::size_t most = 0;
+  client_.SetRoom([&](std::size_t partial_bytes) {
+    most = std::max(most, partial_bytes);
+    return has_room;
+  });
+  const std::string body(400U << 10U, 'b');
+  upstream_.answer_ = [&](int, const std::string& id) { return Ok(id, body); };
+  std::vector<BootTime> ended;
+  const auto start = [&](const std::string& id) {
+    UpstreamCall call;
+    call.request_ = {"GET", "/", {{"Host", "h"}, {"Id", id}}, {}};
+    call.timeout_ = milliseconds(5000);
+    call.correlation_header_ = "Id";
+    client_.Start(std::move(call), [&](const UpstreamResult& result) {
+      BOOST_REQUIRE(result.response_.has_value());
+      BOOST_TEST(result.response_.value().body_.size() == body.size());
+      ended.push_back(BootClock::now());
+      if (ended.size() % kCalls == 0) {
+        loop_.Stop();
+      }
+    });
+  };
+  for (int i = 0; i < kCalls; ++i) {
+    start(std::to_string(i));
+  }
+  RunUntilStopped(loop_);
+  BOOST_REQUIRE(ended.size() == kCalls);
+  BOOST_TEST((ended.back() - ended.front() >= milliseconds(400)));
+  BOOST_TEST(most < 2 * body.size());
+  has_room = true;
+  ended.clear();
+  for (int i = 0; i < kCalls; ++i) {
+    start("again-" + std::to_string(i));
+  }
+  RunUntilStopped(loop_);
+  BOOST_TEST(ended.size() == kCalls);
+}
+
 BOOST_AUTO_TEST_CASE(SlowEndlessResponseEndsAtTheTimeout) {
   upstream_.answer_ = [](int, const std::string& id) {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nx";
