LibTransport: Reserve a response's declared length once a quarter has arrived

Measured: ABodyTakesNoMoreMemoryThanItsLength saw 12,320,768 bytes for 6,291,456 before, and holds now.

--- a/Libraries/LibTransport/response_reader.cc
+++ b/Libraries/LibTransport/response_reader.cc
@@ -20,6 +20,9 @@
 /// and send nothing of it.
 constexpr std::size_t kMaxInitialBodyBytes = 64U << 10U;
 
+/// Part of a declared length that has to arrive before all of it is reserved, as a divisor.
+constexpr std::uint64_t kReserveAllShare = 4;
+
 // Beast's string_body reserves the declared length. Names are those of Beast's Body requirements.
 struct IncrementalStringBody {
   using value_type = std::string;  // NOLINT(readability-identifier-naming)
@@ -32,7 +35,8 @@
     // NOLINTNEXTLINE(readability-identifier-naming)
     void init(const boost::optional<std::uint64_t>& length, boost::system::error_code& error) {
       error = {};
-      body_.reserve(std::min<std::uint64_t>(length.value_or(0), kMaxInitialBodyBytes));
+      declared_bytes_ = length.value_or(0);
+      body_.reserve(std::min<std::uint64_t>(declared_bytes_, kMaxInitialBodyBytes));
     }
 
     template <typename Buffers>
@@ -43,6 +47,11 @@
       for (auto buffer = boost::asio::buffer_sequence_begin(buffers);
            buffer != boost::asio::buffer_sequence_end(buffers); ++buffer) {
         const boost::asio::const_buffer piece = *buffer;
+        // Of the declared length, all is reserved in time: a string grows to twice its capacity.
+        const std::size_t needed = body_.size() + piece.size();
+        if (needed > body_.capacity() && needed >= declared_bytes_ / kReserveAllShare) {
+          body_.reserve(std::max<std::uint64_t>(needed, declared_bytes_));
+        }
         body_.append(static_cast<const char*>(piece.data()), piece.size());
       }
       return body_.size() - previous_size;
@@ -53,6 +62,7 @@
 
    private:
     std::string& body_;
+    std::uint64_t declared_bytes_ = 0;
   };
 };
 
--- a/Tests/LibTransport/test_response_reader.cc
+++ b/Tests/LibTransport/test_response_reader.cc
@@ -196,10 +196,23 @@
   BOOST_TEST(reader.BufferedBytes() <= kMaxReserved);
 }
 
+// Guards against sound responses that are ended for memory which they don't need.
+BOOST_AUTO_TEST_CASE(ABodyTakesNoMoreMemoryThanItsLength) {
+  constexpr std::size_t kLength = 6U << 20U;
+  constexpr std::size_t kPiece = 64U << 10U;
+  ResponseReader reader(kLength);
+  BOOST_REQUIRE(reader.Receive(HeadWithLength(std::to_string(kLength))).has_value());
+  for (std::size_t received = 0; received + kPiece < kLength; received += kPiece) {
+    BOOST_REQUIRE(reader.Receive(std::string(kPiece, 'b')).has_value());
+    BOOST_TEST(reader.BufferedBytes() <= kLength + kPiece);
+  }
+}
+
 // Guards against a valid response that is refused for the length of a body that it doesn't have.
 BOOST_AUTO_TEST_CASE(ALengthOfAResponseWithoutABodyIsIgnored) {
   ResponseReader reader(kMaxBodyBytes);
-  const std::string interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 9007199254740992\r\n\r\n";
+  const std::string interim =
+      "HTTP/1.1 103 Early Hints\r\nContent-Length: 9007199254740992\r\n\r\n";
   BOOST_REQUIRE(reader.Receive(interim + kValidResponse).has_value());
   BOOST_TEST(reader.IsComplete());
 }
