--- a/Tests/Soak/test_store_records.cc
+++ b/Tests/Soak/test_store_records.cc
@@ -205,7 +205,7 @@
     for (const std::string suffix : {"/leave", "/heartbeat"}) {
       UpstreamCall call;
       call.request_ = foreign.request_;
-      call.request_.path_ = "/-/instances/" + id + suffix;
+      call.request_.path_ = std::string(platform::kInstancesPath).append(id).append(suffix);
       call.request_.headers_.emplace_back("Host", "node");
       // libcurl would encode the bytes of the path.
       UpstreamClient client(loop_);
