--- a/Libraries/LibTransport/http_server.cc
+++ b/Libraries/LibTransport/http_server.cc
@@ -282,9 +282,11 @@
     RemoveIfClosed(number);
   }
   SetListening(true);
-  // Responses are taken beyond the limit too. Upstreams then wait in place of connections.
-  const auto is_exhausted = [this] {
-    return !context_.budget_waiters_.empty() || context_.budget_.Held() >= context_.budget_.Limit();
+  MemoryBudget& budget = context_.budget_;
+  const bool is_awaited = budget.TakeAwaited();
+  const auto is_exhausted = [&] {
+    return !context_.budget_waiters_.empty() ||
+           (is_awaited && budget.Held() >= budget.ResponseLimit());
   };
   const bool exhausted = is_exhausted();
   // Also those that are now the only ones to hold bytes.
--- a/Libraries/LibTransport/memory_budget.h
+++ b/Libraries/LibTransport/memory_budget.h
@@ -26,6 +26,14 @@
   /// always admitted.
   std::size_t Room(std::size_t own, std::size_t reserve = 0) const;
 
+  /// Bytes of all kinds up to which large responses are read. The rest is for copies of them.
+  std::size_t ResponseLimit() const { return limit_ / 2; }
+
+  /// Records that a response waits for connections to release bytes.
+  void AwaitRelease() { is_awaited_ = true; }
+  /// Whether that has been recorded since the last call.
+  bool TakeAwaited() { return is_awaited_.exchange(false); }
+
   /// Offers the largest connection of `server` that has made no progress, of `bytes` bytes, for
   /// being ended; 0 withdraws the offer. Returns whether it is the largest of all servers.
   bool OfferLargest(const void* server, std::size_t bytes);
@@ -33,6 +41,7 @@
  private:
   std::atomic<std::size_t> limit_;
   std::atomic<std::size_t> held_ = 0;
+  std::atomic<bool> is_awaited_ = false;
   std::mutex mutex_;
   std::map<const void*, std::size_t> offers_;  // By server; guarded by mutex_.
 };
--- a/Services/sassafrasbay/router/upstream_gate.cc
+++ b/Services/sassafrasbay/router/upstream_gate.cc
@@ -40,11 +40,15 @@
 UpstreamGate::UpstreamGate(ReactorLoop& loop, RouterShared& shared)
     : loop_(loop), shared_(shared), client_(loop) {
   link_.bytes_per_second_ = shared_.environment_.link_bytes_per_second_;
-  // Complete responses are always delivered, so memory is limited before they are read. Half of the
-  // limit is left for the copies of a response on its way to another node.
+  // Complete responses are always delivered, so memory is limited before they are read.
   client_.SetRoom([this](std::size_t partial_bytes) {
-    const MemoryBudget& budget = shared_.budget_;
-    return budget.Held() + hooks_.pending_bytes_() + partial_bytes < budget.Limit() / 2;
+    MemoryBudget& budget = shared_.budget_;
+    const bool has_room =
+        budget.Held() + hooks_.pending_bytes_() + partial_bytes < budget.ResponseLimit();
+    if (!has_room) {
+      budget.AwaitRelease();
+    }
+    return has_room;
   });
 }
 
