platform: Check a heartbeat's version without keeping it

Nothing reads the version, so the field of UpstreamHeartbeat is gone and its type is checked as before.

--- a/Libraries/LibOwnership/heartbeat.h
+++ b/Libraries/LibOwnership/heartbeat.h
@@ -19,7 +19,6 @@
   std::string service_;
   std::string address_;  ///< "ip:port".
   std::string data_centre_;
-  std::string version_;  ///< Of the upstream's software.
   std::uint32_t slots_ = 1;
   bool draining_ = false;
   milliseconds warmup_remaining_{0};    ///< Time until the upstream serves at full speed.
--- a/Libraries/LibOwnership/ownership_decision.h
+++ b/Libraries/LibOwnership/ownership_decision.h
@@ -33,7 +33,7 @@
   bool draining_ = false;
   bool has_left_ = false;    ///< It has announced its leave and sends no further heartbeats.
   bool evacuated_ = false;   ///< Nothing is sent to the upstreams of its data centre.
-  bool has_exited_ = false;  ///< Its port refuses connections and its heartbeats are overdue.
+  bool has_exited_ = false;  ///< Its port is closed and its heartbeats are overdue.
   /// Time at which all grants to all incarnations beside this node have expired on any clock.
   BootTime granted_until_{};
   /// The same for the incarnations before the current one, which are granted nothing any more.
