router: Log failed reads of the store and measure copies of the state

A configuration that was in force late couldn't be traced: a read that failed left a line only when the store began to count as lost, the state that nodes send each other wasn't counted, and nothing told how long a forwarded request was on its way. Each failed read is now logged with its duration and reason, which holds the bytes received; states are counted and logged by their sender; and a forwarded request states its sender's clock, from which the receiver derives a lower bound of the time in transit (sassafrasbay_forwarded_transit_ms).

--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -103,6 +103,9 @@
   value["id"] = message.idempotent_;
   value["ms"] = message.remaining_ms_;
   value["om"] = message.objective_ms_;
+  if (message.clock_ms_) {
+    value["ck"] = *message.clock_ms_;
+  }
   value["f"] = message.fingerprint_;
   value["sf"] = message.sampling_weight_;
   value["m"] = Bytes(message.request_.method_);
@@ -256,6 +259,7 @@
   message.idempotent_ = TakeFlag(reader, "id");
   Read(reader, "ms", message.remaining_ms_);
   Read(reader, "om", message.objective_ms_);
+  ReadIfPresent(reader, "ck", message.clock_ms_);
   Read(reader, "f", message.fingerprint_);
   message.sampling_weight_ = std::max(1.0, TakeNumber(reader, "sf"));
   message.request_.method_ = TakeBytes(reader, "m");
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -34,6 +34,8 @@
   bool returned_ = false;
   bool idempotent_ = false;
   std::uint32_t remaining_ms_ = 0;  ///< Time until the deadline of the caller or the route.
+  /// The sender's clock when this was sent; nothing from earlier versions. See TransitTime().
+  std::optional<std::uint64_t> clock_ms_;
   /// Time until the route's latency objective; 0 when it has passed.
   std::uint32_t objective_ms_ = 0;
   std::uint64_t fingerprint_ = 0;  ///< Hash of path, caller and body.
--- a/Services/sassafrasbay/router/control_thread.cc
+++ b/Services/sassafrasbay/router/control_thread.cc
@@ -248,6 +248,7 @@
 
 void ControlThread::OnState(const StateTransfer& state) {
   if (!state.configuration_.empty()) {
+    shared_.metrics_.Count("sassafrasbay_configurations_received_total");
     ApplyConfiguration(state.configuration_, ConfigurationSource::kPeer);
   }
   OnEvacuationState(state);
--- a/Services/sassafrasbay/router/request_router.cc
+++ b/Services/sassafrasbay/router/request_router.cc
@@ -394,6 +394,7 @@
   const BootTime now = BootClock::now();
   pending.request_.remaining_ms_ = MillisecondsUntil(pending.deadline_, now);
   pending.request_.objective_ms_ = MillisecondsUntil(pending.objective_, now);
+  pending.request_.clock_ms_ = static_cast<std::uint64_t>(ToBootMilliseconds(now));
   pending.sent_at_ = now;
   pending.connection_ = links_.Send(pending.node_, pending.request_);
   return pending.connection_ != 0;
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -137,6 +137,10 @@
   }
   immediate_read_pending_ = false;
   if (!batch) {
+    const auto lasted =
+        std::chrono::duration_cast<milliseconds>(BootClock::now() - requested_at).count();
+    LogInfo(kPart, "topic=" + topic_ + " end=" + ToString(end_) + " read=failed ms=" +
+                       std::to_string(lasted) + " reason=\"" + ToString(batch.error()) + "\".");
     OnReadError(batch.error());
     return;
   }
--- a/Services/sassafrasbay/router/traffic_forwarded.cc
+++ b/Services/sassafrasbay/router/traffic_forwarded.cc
@@ -63,7 +63,18 @@
   return origin == origins_.end() ? "connection-" + std::to_string(connection) : origin->second;
 }
 
+milliseconds TrafficThread::TransitTimeOf(ConnectionId connection,
+                                          const ForwardedRequest& request) const {
+  const auto clock = transit_clocks_.find(OriginOf(connection));
+  return clock == transit_clocks_.end() || !request.clock_ms_
+             ? milliseconds(0)
+             : TransitTime(clock->second, *request.clock_ms_, BootClock::now());
+}
+
 void TrafficThread::OnForwarded(ConnectionId connection, ForwardedRequest request) {
+  const milliseconds transit = TransitTimeOf(connection, request);
+  shared_.metrics_.Observe("sassafrasbay_forwarded_transit_ms", {},
+                           static_cast<double>(transit.count()));
   const AttemptKey key{OriginOf(connection), request.number_};
   const Arrival arrival =
       RecordArrival(attempts_, key, connection, request.sent_before_to_, shared_.incarnation_id_);
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibCore/logging.h"
 #include "LibOwnership/history_settlement.h"
 #include "LibOwnership/report_timing.h"
 #include "router/echoed_clock.h"
@@ -12,6 +13,8 @@
 namespace sassafrasbay {
 namespace {
 
+constexpr std::string_view kPart = "traffic";
+
 /// Interval between checks for reports that are due.
 constexpr milliseconds kReportCheckInterval = kMinReportInterval / 2;
 
@@ -29,6 +32,15 @@
 /// state takes a link of 10 Mbit/s for some hundred milliseconds, so not all nodes may send it.
 constexpr std::size_t kStateSendersPerTurn = 2;
 
+/// Size of the parts of a state that can be large.
+std::size_t StateBytes(const StateTransfer& state) {
+  std::size_t bytes = state.configuration_.size();
+  for (const auto& [key, value] : state.records_) {
+    bytes += key.size() + value.size();
+  }
+  return bytes;
+}
+
 std::uint64_t ClockMilliseconds() {
   return static_cast<std::uint64_t>(ToBootMilliseconds(BootClock::now()));
 }
@@ -157,6 +169,11 @@
     return;
   }
   const ReceivedReport received_report{report, BootClock::now()};
+  if (newest != reports_.end() && newest->second.report_.incarnation_ != report.incarnation_) {
+    transit_clocks_.erase(newest->second.report_.incarnation_);
+  }
+  RecordMessage(transit_clocks_[report.incarnation_], report.clock_ms_,
+                received_report.received_at_);
   reports_[report.address_] = received_report;
   ConfirmReport(report);
   router_.SetReport(received_report);
@@ -196,6 +213,13 @@
     state.tables_end_ = snapshot_->tables_end_;
     state.records_ = EncodeRecords(snapshot_->records_);
   }
+  const std::size_t bytes = StateBytes(state);
+  shared_.metrics_.Count("sassafrasbay_states_sent_total");
+  shared_.metrics_.Count("sassafrasbay_state_bytes_sent_total", {}, bytes);
+  LogInfo(kPart, "peer=" + report.address_ + " state=sent bytes=" + std::to_string(bytes) +
+                     " configuration=" + std::to_string(report.configuration_version_) + "/" +
+                     std::to_string(version) + " tables_end=" + ToString(report.tables_end_) + "/" +
+                     ToString(snapshot_->tables_end_) + ".");
   links_.Reply(connection, state);
 }
 
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "LibRouting/forwarded_attempts.h"
+#include "LibRouting/transit_time.h"
 #include "LibTransport/http_server.h"
 #include "LibTransport/reactor_loop.h"
 #include "router/peer_links.h"
@@ -61,6 +62,8 @@
   void OnMessage(ConnectionId connection, NodeMessage message);
   void OnIntroduction(ConnectionId connection, const Introduction& introduction);
   void OnForwarded(ConnectionId connection, ForwardedRequest request);
+  /// Time that a request took from the node of its caller to this one, as far as it is known.
+  milliseconds TransitTimeOf(ConnectionId connection, const ForwardedRequest& request) const;
   void OnCancelled(ConnectionId connection, const CancelForwarded& cancel);
   /// Identity of the process that opened the connection.
   std::string OriginOf(ConnectionId connection) const;
@@ -106,7 +109,8 @@
   ForwardedAttempts attempts_;                       ///< Of requests of peers.
   /// Connections that peers have opened, by the sender's address; the newest one of each.
   std::map<std::string, IncomingLink> incoming_;
-  std::map<ConnectionId, std::string> origins_;  ///< Incarnation of the peer that opened it.
+  std::map<ConnectionId, std::string> origins_;         ///< Incarnation of the peer that opened it.
+  std::map<std::string, TransitClock> transit_clocks_;  ///< By incarnation of the peer.
   bool leaving_ = false;
   bool stopped_accepting_ = false;  ///< New requests are refused; the process ends soon.
   BootTime shutdown_end_{};
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -21,6 +21,7 @@
   request.returned_ = true;
   request.idempotent_ = true;
   request.remaining_ms_ = 800;
+  request.clock_ms_ = 86400000;
   request.fingerprint_ = 0xFFFFFFFFFFFFFFFFU;
   request.request_ = {"PUT", "/a?b", {{"H", "v"}}, std::string("\0\xff", 2)};
   ForwardedAnswer answer;
