--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -188,6 +188,11 @@
            route("long", "non_idempotent", 1, "/long/", kBookingService, "12000ms"),
            route("version", "idempotent", 2, VersionPath(version_), kBookingService)}}}}},
       {"clusters", {cluster(kLookupService, true), cluster(kBookingService, false)}}};
+  nlohmann::json& rules = configuration["listeners"][0]["rules"];
+  for (int i = 0; i < options_.extra_routes_; ++i) {
+    const std::string name = "extra-" + std::to_string(i);
+    rules.push_back(route(name.c_str(), "idempotent", 2, "/" + name + "/", kBookingService));
+  }
   if (!options_.for_callers_.is_null()) {
     configuration["limits"] = options_.for_callers_;
   }
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -46,6 +46,7 @@
   int memory_mb_ = 0;           ///< Memory of each VM.
   int max_fds_ = 0;             ///< File descriptors of each node process.
   nlohmann::json for_callers_;  ///< `limits` of the configuration.
+  int extra_routes_ = 0;        ///< Routes of the configuration that get no requests.
   /// Port that requests are sent to. Heartbeats come from the target in any case, and name it.
   std::uint16_t upstream_port_ = kTargetPort;
 };
--- a/Tests/StandIns/proxy_relay.cc
+++ b/Tests/StandIns/proxy_relay.cc
@@ -57,6 +57,8 @@
     combined.cut_from_target_ |= faults.cut_from_target_;
     combined.refuse_ |= faults.refuse_;
     combined.delay_ms_ = std::max(combined.delay_ms_, faults.delay_ms_);
+    combined.bytes_per_second_from_target_ =
+        std::max(combined.bytes_per_second_from_target_, faults.bytes_per_second_from_target_);
     combined.reset_after_bytes_ = std::max(combined.reset_after_bytes_, faults.reset_after_bytes_);
   }
   return combined;
@@ -99,6 +101,20 @@
   return false;
 }
 
+// Delays what was read last to the limited rate.
+void LimitRate(ProxyStream& stream, std::uint64_t bytes_per_second) {
+  if (bytes_per_second == 0 || stream.queue_.empty()) {
+    return;
+  }
+  ProxyStream::Chunk& chunk = stream.queue_.back();
+  const double seconds =
+      static_cast<double>(chunk.bytes_.size()) / static_cast<double>(bytes_per_second);
+  chunk.due_ =
+      std::max(stream.free_at_, chunk.due_) +
+      std::chrono::duration_cast<BootTime::duration>(std::chrono::duration<double>(seconds));
+  stream.free_at_ = chunk.due_;
+}
+
 // Drops bytes read beyond the limit. A short answer would otherwise arrive complete before the
 // reset.
 void DropBytesBeyond(ProxyStream& stream, std::uint64_t count, std::uint64_t limit) {
@@ -198,6 +214,7 @@
   if (descriptor == from_target.from_ && (ready & kRead) != 0) {
     failed |= ReadStream(from_target, faults.cut_from_target_, faults.delay_ms_,
                          &connection.bytes_from_target_);
+    LimitRate(from_target, faults.bytes_per_second_from_target_);
     DropBytesBeyond(from_target, connection.bytes_from_target_, faults.reset_after_bytes_);
   }
   if (!connection.connecting_) {
--- a/Tests/StandIns/proxy_relay.h
+++ b/Tests/StandIns/proxy_relay.h
@@ -19,6 +19,8 @@
   bool cut_from_target_ = false;  ///< Discards bytes from the target.
   bool refuse_ = false;           ///< Resets new connections.
   std::int64_t delay_ms_ = 0;     ///< Delay of the bytes in each direction.
+  /// Rate of the bytes from the target on each connection; 0 for no limit.
+  std::uint64_t bytes_per_second_from_target_ = 0;
   /// Resets a connection after this many bytes from the target, counted from the last change of the
   /// route's faults; 0 turns this off.
   std::uint64_t reset_after_bytes_ = 0;
@@ -44,6 +46,7 @@
   int from_ = -1;
   int to_ = -1;
   std::deque<Chunk> queue_;
+  BootTime free_at_{};  ///< When a stream of limited rate has passed on what it has read.
   std::size_t queued_bytes_ = 0;
   bool ended_ = false;      ///< The sender has closed its side.
   bool shut_down_ = false;  ///< The end of the stream was passed on to the receiver.
--- a/Tests/platform/store_stand_in.cc
+++ b/Tests/platform/store_stand_in.cc
@@ -99,7 +99,13 @@
 void StoreStandIn::Respond(const std::shared_ptr<HttpExchange>& exchange,
                            HttpResponse response) const {
   response.headers_.emplace_back(platform::kStoreEraHeader, std::to_string(era_));
-  exchange->Respond(std::move(response));
+  if (delay_.count() == 0) {
+    exchange->Respond(std::move(response));
+    return;
+  }
+  loop_.StartTimer(delay_, [exchange, response = std::move(response)]() mutable {
+    exchange->Respond(std::move(response));
+  });
 }
 
 void StoreStandIn::Compact(std::string_view topic) {
--- a/Tests/platform/store_stand_in.h
+++ b/Tests/platform/store_stand_in.h
@@ -46,6 +46,7 @@
 
   StoreFault fault_ = StoreFault::kNone;
   int refusal_status_ = 503;
+  milliseconds delay_{0};   ///< Delay of all answers.
   std::size_t page_ = 500;  ///< Records in one page of newest records.
   std::uint64_t calls_ = 0;
   std::uint64_t era_ = 1;
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -170,6 +170,24 @@
   BOOST_TEST(reached_[2]);
 }
 
+// Guards against a store that acknowledges changes and is never read (CONFIG): each read was given
+// up after the same time, which is shorter than an answer of a slow store takes.
+BOOST_AUTO_TEST_CASE(ASlowStoreIsRead) {
+  constexpr milliseconds kLimit{6000};
+  server_.Append("keyed.t", "a", "1");
+  follower_.Start();
+  RunUntil([this] { return seen_.contains("a"); });
+  server_.delay_ = milliseconds(1000);
+  server_.Append("keyed.t", "a", "2");
+  bool timed_out = false;
+  loop_.StartTimer(kLimit, [&] {
+    timed_out = true;
+    loop_.Stop();
+  });
+  RunUntil([this] { return seen_["a"] == "2"; });
+  BOOST_TEST(!timed_out);
+}
+
 // Guards against an unanswered read delaying a record that other nodes have read already.
 BOOST_AUTO_TEST_CASE(ReadNowReplacesUnansweredRead) {
   follower_.SetReadSchedule({milliseconds(30'000), milliseconds(0)});
