platform: Limit reads of the store by progress instead of by their duration

Callers saw requests handled by an old configuration seconds after a newer one had been acknowledged (CONFIG). A read of the store was given up 0.7 s after its start, however much of the answer had arrived, and begun again at the same record. Configurations of 4200 routes take 0.6 s of a link of 10 Mbit/s alone; beside other traffic, or together with a second version, no read of them ever ended. The logs of the incident show reads that fail at 17 nodes while their links carry all they can.

The class of the fault is a fixed limit on the time of a transfer whose size is the user's choice.

TestHttpClient has a response of 1 MB that takes four times the stall timeout, and one that stalls.

--- a/Libraries/LibTransport/http_call.cc
+++ b/Libraries/LibTransport/http_call.cc
@@ -64,6 +64,7 @@
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* context) {
   auto& state = *static_cast<CallState*>(context);
   const std::string_view line(data, size * count);
+  state.progress_at_ = BootClock::now();
   state.header_bytes_ += line.size();
   if (state.header_bytes_ > kMaxHeaderBytes) {
     state.too_large_ = true;
@@ -92,6 +93,7 @@
   auto& state = *static_cast<CallState*>(context);
   const std::size_t bytes = size * count;
   state.body_started_ = true;
+  state.progress_at_ = BootClock::now();
   if (state.response_.body_.size() + bytes > state.call_.max_response_bytes_) {
     state.too_large_ = true;
     return 0;
@@ -225,6 +227,13 @@
   SetHeaders(state);
 }
 
+HttpResult StalledTransfer(const CallState& state) {
+  return Failure(state, state.connected_ ? Errc::kTimedOut : Errc::kUnavailable,
+                 "nothing received for " + std::to_string(state.call_.stall_timeout_->count()) +
+                     " ms after " + std::to_string(state.response_.body_.size()) +
+                     " bytes of the body");
+}
+
 HttpResult FinishTransfer(CallState& state, CURLcode code) {
   if (code != CURLE_OK) {
     const char* text =
--- a/Libraries/LibTransport/http_call.h
+++ b/Libraries/LibTransport/http_call.h
@@ -24,6 +24,9 @@
   std::array<char, CURL_ERROR_SIZE> error_text_{};
   HttpResponse response_;
   std::size_t header_bytes_ = 0;  ///< Received so far, whether or not they are kept.
+  BootTime progress_at_{};        ///< When bytes of the response were received last.
+  ReactorLoop::TimerId stall_timer_ = 0;
+  bool stalled_ = false;  ///< The last check found no progress.
   bool body_started_ = false;
   bool too_large_ = false;
   bool connected_ = false;  ///< Set once a connection is ready, before the request is sent.
@@ -37,6 +40,9 @@
 /// Sets all libcurl options of `state.easy_` for the call.
 void PrepareTransfer(CallState& state);
 
+/// Result of a call whose response has stalled.
+HttpResult StalledTransfer(const CallState& state);
+
 /// Converts the outcome of a finished transfer into a result. Moves the response out of `state`.
 HttpResult FinishTransfer(CallState& state, CURLcode code);
 
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -18,6 +19,9 @@
 // close reusable connections after each burst.
 constexpr long kMaxIdleConnections = 512;  // NOLINT(google-runtime-int): libcurl's type
 
+// Delay after which a call without progress is checked once more.
+constexpr milliseconds kStallRecheckDelay{5};
+
 // Limit of transfer handles kept for reuse. Each handle holds its receive and upload buffers.
 constexpr std::size_t kMaxSpareHandles = 64;
 
@@ -60,7 +64,8 @@
   void Cancel(CallId id);
   void HandleSocketAction(curl_socket_t socket, int bits);
   void FinishCompletedTransfers();
-  void Finish(CallState& state, CURLcode code);
+  void Finish(CallState& state, HttpResult result);
+  void CheckProgress(CallId id);
   void PostStartError(CallId id);
   void Release(CallState& state);
   void SetTimer(long timeout_ms);  // NOLINT(google-runtime-int): libcurl's type
@@ -135,6 +140,11 @@
   state.easy_ = TakeHandle();
   PrepareTransfer(state);
   curl_multi_add_handle(multi_, state.easy_);
+  if (state.call_.stall_timeout_) {
+    state.progress_at_ = BootClock::now();
+    state.stall_timer_ =
+        loop_.StartTimer(*state.call_.stall_timeout_, [this, id] { CheckProgress(id); });
+  }
   return id;
 }
 
@@ -180,13 +190,29 @@
       const CURLcode code = message->data.result;
       CallState* state = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &state);
-      Finish(*state, code);
+      Finish(*state, FinishTransfer(*state, code));
     }
   }
 }
 
-void HttpClient::Impl::Finish(CallState& state, CURLcode code) {
-  HttpResult result = FinishTransfer(state, code);
+// A process that was paused reads what has arrived meanwhile before it gives up a call.
+void HttpClient::Impl::CheckProgress(CallId id) {
+  CallState& state = *calls_.at(id);
+  state.stall_timer_ = 0;
+  const milliseconds left =
+      *state.call_.stall_timeout_ -
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - state.progress_at_);
+  const bool is_stalled = left.count() <= 0;
+  if (is_stalled && state.stalled_) {
+    Finish(state, StalledTransfer(state));
+    return;
+  }
+  state.stalled_ = is_stalled;
+  state.stall_timer_ =
+      loop_.StartTimer(std::max(left, kStallRecheckDelay), [this, id] { CheckProgress(id); });
+}
+
+void HttpClient::Impl::Finish(CallState& state, HttpResult result) {
   const auto entry = calls_.find(state.id_);
   const std::unique_ptr<CallState> owned = std::move(entry->second);
   calls_.erase(entry);
@@ -195,6 +221,7 @@
 }
 
 void HttpClient::Impl::Release(CallState& state) {
+  loop_.CancelTimer(std::exchange(state.stall_timer_, 0));
   if (state.easy_ == nullptr) {
     return;
   }
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "LibCore/clock.h"
@@ -17,6 +18,8 @@
   std::string base_url_;  ///< For example "http://127.0.0.1:9000"; the request path is appended.
   HttpRequest request_;
   milliseconds timeout_{2000};
+  /// Maximum time without a byte of the response; nothing for no limit but that of the whole call.
+  std::optional<milliseconds> stall_timeout_;
   milliseconds connect_timeout_{1000};
   std::size_t max_response_bytes_ = 4U << 20U;
   /// Opens a new connection instead of reusing one. Needed for requests that must be sent at most
--- a/Tests/LibTransport/test_http_client.cc
+++ b/Tests/LibTransport/test_http_client.cc
@@ -11,6 +11,7 @@
 #include "LibTransport/http_client.h"
 #include "LibTransport/http_server.h"
 #include "LibTransport/loopback.h"
+#include "LibTransport/stub_upstream.h"
 
 namespace sassafrasbay {
 namespace {
@@ -174,6 +175,55 @@
   BOOST_TEST(result.maybe_sent_);
 }
 
+/// A server whose response takes several times as long as the stall timeout of its client.
+struct SlowResponse {
+  SlowResponse() {
+    server_.answer_ = [](int, const std::string&) {
+      return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBytes) + "\r\n\r\n";
+    };
+    server_.endless_bytes_ = kBytesPerMillisecond;
+    server_.is_endless_ = [this] { return sent_++ < sent_limit_; };
+  }
+
+  HttpResult Call() {
+    HttpClient client(loop_, 4);
+    HttpCall call = MakeCall(0, "GET", "/");
+    call.base_url_ = "http://" + server_.Address();
+    call.timeout_ = milliseconds(20'000);
+    call.stall_timeout_ = kStallTimeout;
+    return RunCall(loop_, client, std::move(call));
+  }
+
+  static constexpr std::size_t kBytes = 1'000'000;
+  static constexpr std::size_t kBytesPerMillisecond = 1000;
+  static constexpr milliseconds kStallTimeout{250};
+
+  ReactorLoop loop_;
+  StubUpstream server_{loop_};
+  int sent_ = 0;
+  int sent_limit_ = 1'000'000;
+};
+
+// Guards against a response that is given up although it keeps arriving.
+BOOST_AUTO_TEST_CASE(AResponseThatMakesProgressIsNotGivenUp) {
+  SlowResponse slow;
+  const BootTime start = BootClock::now();
+  const HttpResult result = slow.Call();
+  BOOST_REQUIRE(result.response_.has_value());
+  BOOST_TEST(result.response_.value().body_.size() == SlowResponse::kBytes);
+  BOOST_TEST((BootClock::now() - start > SlowResponse::kStallTimeout));
+}
+
+// Guards against a wait for the limit of the whole call once nothing arrives any more.
+BOOST_AUTO_TEST_CASE(AResponseThatStallsIsGivenUp) {
+  SlowResponse slow;
+  slow.sent_limit_ = 100;
+  const HttpResult result = slow.Call();
+  BOOST_REQUIRE(!result.response_.has_value());
+  BOOST_TEST((result.response_.error().code_ == Errc::kTimedOut));
+  BOOST_TEST(result.maybe_sent_);
+}
+
 // Guards against a truncated body being accepted as a complete response.
 BOOST_AUTO_TEST_CASE(TruncatedBodiesAreErrors) {
   const auto declared = CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
