router: Count the time in transit against a forwarded request's deadline

Upstreams ran requests whose callers had left up to a second earlier (GONE), and were told more time than was left. A forwarded request states the time until its deadline, which the receiver counted from the moment at which it decoded the request. The time spent in a full link, or in the socket of a process that was paused, was given back to it, and its cancellation waits behind it in the same queue.

A request whose caller leaves before its deadline can still overtake its own cancellation if the link delays both.

That this is what the reporters saw is suspected, not shown: there is no trace of their play.

--- a/Services/sassafrasbay/router/traffic_forwarded.cc
+++ b/Services/sassafrasbay/router/traffic_forwarded.cc
@@ -23,6 +23,10 @@
 constexpr int kMaxSilentIntervals = 20;
 constexpr milliseconds kMinIncomingTimeout{30'000};
 
+std::uint32_t TimeLeft(std::uint32_t left_ms, milliseconds passed) {
+  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, left_ms - passed.count()));
+}
+
 }  // namespace
 
 // Answers go to the newest connection of a sender. Nothing may be read from an earlier one any
@@ -75,6 +79,8 @@
   const milliseconds transit = TransitTimeOf(connection, request);
   shared_.metrics_.Observe("sassafrasbay_forwarded_transit_ms", {},
                            static_cast<double>(transit.count()));
+  request.remaining_ms_ = TimeLeft(request.remaining_ms_, transit);
+  request.objective_ms_ = TimeLeft(request.objective_ms_, transit);
   const AttemptKey key{OriginOf(connection), request.number_};
   const Arrival arrival =
       RecordArrival(attempts_, key, connection, request.sent_before_to_, shared_.incarnation_id_);
