router: Send no large configuration to a node that is reading it

Nodes sent their state to whoever reported an older one, two of them each 0.6 s, whether or not the receiver was about to have read it. Each copy delayed that read, which led to the next copy.

Reports now say whether the sender's reads of the operators' topic succeed. A large configuration isn't sent to a node that is behind in the topic and reads it; other nodes get it from one sender at a time, no faster than a link of that size carries it. Small states are sent as before. The decision is LibRouting/state_offer, which needs no network.

--- a/Libraries/LibRouting/node_message_codec.cc
+++ b/Libraries/LibRouting/node_message_codec.cc
@@ -157,6 +157,9 @@
     value["ca"] = *message.configuration_age_ms_;
   }
   WriteOperatorsEnd(value, message.operators_end_);
+  if (message.reads_operators_topic_) {
+    value["or"] = true;
+  }
   WriteLoad(value, message.load_);
   Cbor::array_t times;
   for (const ServiceTime& time : message.service_times_) {
@@ -312,6 +315,7 @@
   Read(reader, "cv", message.configuration_version_);
   ReadIfPresent(reader, "ca", message.configuration_age_ms_);
   message.operators_end_ = ReadOperatorsEnd(reader);
+  message.reads_operators_topic_ = TakeFlagIfPresent(reader, "or");
   message.load_ = ReadLoad(reader);
   message.upstream_.service_ = TakeText(reader, "us");
   message.upstream_.instance_ = TakeText(reader, "ui");
--- a/Libraries/LibRouting/node_messages.h
+++ b/Libraries/LibRouting/node_messages.h
@@ -141,6 +141,9 @@
   std::optional<std::uint64_t> configuration_age_ms_;
   /// Position up to which the sender knows the operators' topic; nothing from earlier versions.
   std::optional<TopicPosition> operators_end_;
+  /// Whether the sender's reads of the operators' topic succeed, or are in progress and none has
+  /// failed yet.
+  bool reads_operators_topic_ = false;
   GateLoad load_;
   std::vector<ServiceTime> service_times_;
   UpstreamSummary upstream_;
--- a/Services/sassafrasbay/router/control_configuration.cc
+++ b/Services/sassafrasbay/router/control_configuration.cc
@@ -110,6 +110,7 @@
 // Readers report new configurations. That they are silent doesn't mean that there is none: they may
 // be lost, or may have lost the store without noticing yet.
 void ControlThread::VerifyConfiguration() {
+  shared_.reads_operators_topic_ = !operator_topic_.IsFailing();
   const milliseconds age = ConfigurationAge();
   shared_.metrics_.SetGauge("sassafrasbay_configuration_age_ms", {},
                             static_cast<double>(age.count()));
--- a/Services/sassafrasbay/router/router_state.h
+++ b/Services/sassafrasbay/router/router_state.h
@@ -89,6 +89,8 @@
   SharedConfirmations confirmations_;
   SharedConfirmations configuration_confirmations_;
   std::atomic<bool> reaches_store_{false};
+  /// No read of the operators' topic has failed since the last one that succeeded.
+  std::atomic<bool> reads_operators_topic_{true};
   SharedPromises promises_;
 };
 
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -74,6 +74,8 @@
   /// Position behind the last known record.
   const TopicPosition& End() const { return end_; }
   bool IsStoreReachable() const { return is_store_reachable_; }
+  /// Whether the last read that has ended failed.
+  bool IsFailing() const { return consecutive_failures_ > 0; }
   /// Whether the newest records are known, from the store or from another node.
   bool IsCurrent() const { return current_; }
   /// Latest era that the store has answered in.
--- a/Services/sassafrasbay/router/traffic_thread.cc
+++ b/Services/sassafrasbay/router/traffic_thread.cc
@@ -7,6 +7,7 @@
 #include "LibCore/logging.h"
 #include "LibOwnership/history_settlement.h"
 #include "LibOwnership/report_timing.h"
+#include "LibRouting/state_offer.h"
 #include "router/echoed_clock.h"
 #include "router/load_metrics.h"
 
@@ -24,14 +25,6 @@
 /// Number of nodes that get demand reports.
 constexpr std::size_t kPlannerCount = 2;
 
-/// Delay before the state is sent to a node that lacks some of it, and between repetitions. A node
-/// that reaches the store is faster by itself.
-constexpr milliseconds kStateTransferDelay{600};
-
-/// Number of nodes that send the state in the same turn, since one of them may lack it too. The
-/// state takes a link of 10 Mbit/s for some hundred milliseconds, so not all nodes may send it.
-constexpr std::size_t kStateSendersPerTurn = 2;
-
 /// Size of the parts of a state that can be large.
 std::size_t StateBytes(const StateTransfer& state) {
   std::size_t bytes = state.configuration_.size();
@@ -181,35 +174,44 @@
   if (snapshot_ == nullptr) {
     return;
   }
+  OfferState(connection, report);
+}
+
+void TrafficThread::OfferState(ConnectionId connection, const NodeReport& report) {
   const std::uint64_t version = snapshot_->routes_ == nullptr ? 0 : snapshot_->routes_->version_;
-  const bool lacks_marks =
-      report.operators_end_ && *report.operators_end_ < snapshot_->operators_end_;
-  const bool is_lagging = report.configuration_version_ < version || lacks_marks ||
-                          report.tables_end_ < snapshot_->tables_end_;
-  if (!is_lagging) {
+  const KnownState known{
+      version,
+      snapshot_->configuration_text_ == nullptr ? 0 : snapshot_->configuration_text_->size(),
+      snapshot_->operators_end_, snapshot_->tables_end_};
+  const MissingState missing = FindMissingState(report, known);
+  if (!missing.IsAny()) {
     lagging_since_.erase(report.address_);
     return;
   }
+  const BootTime now = BootClock::now();
+  const MissingState parts = PartsToSend(missing);
+  const std::size_t large_bytes = parts.configuration_ ? known.configuration_bytes_ : 0;
+  const double link = shared_.environment_.link_bytes_per_second_;
+  const milliseconds delay = StateOfferDelay(StateTransferTurn(report.address_), large_bytes, link);
   // A node that knows nothing can't serve anybody, and has found no store to read by itself.
   const bool knows_nothing =
       report.configuration_version_ == 0 && report.tables_end_ == TopicPosition{};
   const BootTime lagging_since =
-      received_report.received_at_ - (knows_nothing ? kStateTransferDelay : milliseconds(0));
+      now - (knows_nothing ? StateOfferDelay(0, large_bytes, link) : milliseconds(0));
   BootTime& since = lagging_since_.try_emplace(report.address_, lagging_since).first->second;
-  const auto turn = 1 + StateTransferTurn(report.address_) / kStateSendersPerTurn;
-  if (received_report.received_at_ - since < kStateTransferDelay * turn) {
+  if (!parts.IsAny() || now - since < delay) {
     return;
   }
-  since = received_report.received_at_;
+  since = now;
   StateTransfer state;
-  if (report.configuration_version_ < version) {
+  if (parts.configuration_) {
     state.configuration_ = *snapshot_->configuration_text_;
   }
-  if (lacks_marks) {
+  if (parts.marks_) {
     state.operators_end_ = snapshot_->operators_end_;
     state.evacuated_.assign(snapshot_->evacuated_.begin(), snapshot_->evacuated_.end());
   }
-  if (report.tables_end_ < snapshot_->tables_end_) {
+  if (parts.tables_) {
     state.tables_end_ = snapshot_->tables_end_;
     state.records_ = EncodeRecords(snapshot_->records_);
   }
@@ -255,6 +257,7 @@
   report.tables_end_ = snapshot_->tables_end_;
   report.store_era_ = snapshot_->store_era_;
   report.operators_end_ = snapshot_->operators_end_;
+  report.reads_operators_topic_ = shared_.reads_operators_topic_;
   report.known_to_owners_ = IsKnownToOwners(snapshot_->registered_at_, BootClock::now());
   if (const auto since = shared_.confirmations_.Since(snapshot_->tables_end_)) {
     report.tables_known_ = true;
--- a/Services/sassafrasbay/router/traffic_thread.h
+++ b/Services/sassafrasbay/router/traffic_thread.h
@@ -68,6 +68,8 @@
   /// Identity of the process that opened the connection.
   std::string OriginOf(ConnectionId connection) const;
   void OnReport(ConnectionId connection, const NodeReport& report);
+  /// Sends the node what it lacks of the shared state, if it is this node's turn.
+  void OfferState(ConnectionId connection, const NodeReport& report);
   void OnIncomingClosed(ConnectionId connection);
   void Broadcast(const NodeMessage& message);
   /// Sends a report to each other node now.
--- a/Tests/LibRouting/test_node_message_codec.cc
+++ b/Tests/LibRouting/test_node_message_codec.cc
@@ -41,6 +41,7 @@
   report.store_era_ = 3;
   report.configuration_age_ms_ = 340;
   report.operators_end_ = TopicPosition{2, 9};
+  report.reads_operators_topic_ = true;
   report.service_times_ = {{"r-1", 250}, {"r-2", 1000}};
   report.upstream_ = {"s1", "i-1", 1700000000123, true};
   report.leaving_instance_ = "i-2";
