router: Give a slow store more time to answer a read that is repeated

A store whose answers take longer than 0.7 s acknowledges changes that no node ever reads: each read of it was given up and begun again with the same limit, and after a further delay of up to 0.8 s, so that nodes handled requests by an old configuration until the store recovered (CONFIG).

After a read that has timed out, the next ones have 1.4 s until their first byte, until the store has answered within 0.7 s. The time that a failed read took counts as part of the backoff, so that the return of a silent store is noticed as soon as before.

A store that takes longer than 1.4 s is still not read.

--- a/Libraries/LibControl/record_store.h
+++ b/Libraries/LibControl/record_store.h
@@ -27,6 +27,13 @@
   std::vector<KeyedRecord> records_;
 };
 
+/// How long a read may take.
+struct ReadLimits {
+  milliseconds wait_{0};  ///< Time that the store waits for the first record.
+  /// Further time without a byte of the answer after which the read has failed.
+  milliseconds stall_timeout_{700};
+};
+
 /// The platform's durable store. A topic consists of keyed records; the newest record of each key
 /// is retained.
 class RecordStore {
@@ -41,15 +48,14 @@
                       std::optional<std::uint64_t> at,
                       std::function<void(Result<TopicPosition>)> callback) = 0;
 
-  /// Reads records from offset `from` on, and waits up to `wait` for the first one. Errors:
-  /// kTruncated when `from` is no longer retained.
-  virtual void Read(std::string_view topic, std::uint64_t from, milliseconds wait,
+  /// Reads records from offset `from` on. Errors: kTruncated when `from` is no longer retained.
+  virtual void Read(std::string_view topic, std::uint64_t from, const ReadLimits& limits,
                     std::function<void(Result<RecordBatch>)> callback) = 0;
 
   /// Reads the newest record of each key. Records appended during the call may be missing. The end
   /// in the result is the end of the topic before the call, so a Read() from there returns them.
   /// The error kConnectionLost is also that of a store which was restored during the call.
-  virtual void ReadNewestRecords(std::string_view topic,
+  virtual void ReadNewestRecords(std::string_view topic, milliseconds stall_timeout,
                                  std::function<void(Result<RecordBatch>)> callback) = 0;
 };
 
--- a/Services/sassafrasbay/router/topic_follower.cc
+++ b/Services/sassafrasbay/router/topic_follower.cc
@@ -14,6 +14,12 @@
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
 
+/// Time without a byte of an answer, beyond the wait that the read asks for, after which the
+/// connection counts as lost. After a read that has timed out, the store may only be slow. The
+/// longer time is also that after which the return of a silent store is noticed.
+constexpr milliseconds kStallTimeout{700};
+constexpr milliseconds kSlowStallTimeout{1400};
+
 }  // namespace
 
 TopicFollower::TopicFollower(ReactorLoop& loop, RecordStore& store, std::string topic,
@@ -115,16 +121,19 @@
   const std::uint64_t read_number = ++read_number_;
   immediate_read_pending_ = true;
   const BootTime requested_at = BootClock::now();
-  store_.ReadNewestRecords(topic_, [this, read_number, requested_at](Result<RecordBatch> batch) {
-    OnBatch(read_number, requested_at, std::move(batch), true);
-  });
+  wait_ = milliseconds(0);
+  store_.ReadNewestRecords(topic_, Limits(wait_).stall_timeout_,
+                           [this, read_number, requested_at](Result<RecordBatch> batch) {
+                             OnBatch(read_number, requested_at, std::move(batch), true);
+                           });
 }
 
 void TopicFollower::ReadNext(milliseconds wait) {
   const std::uint64_t read_number = ++read_number_;
   immediate_read_pending_ = wait.count() == 0;
   const BootTime requested_at = BootClock::now();
-  store_.Read(topic_, ReadPosition().offset_, wait,
+  wait_ = wait;
+  store_.Read(topic_, ReadPosition().offset_, Limits(wait),
               [this, read_number, requested_at](Result<RecordBatch> batch) {
                 OnBatch(read_number, requested_at, std::move(batch), false);
               });
@@ -141,15 +150,18 @@
         std::chrono::duration_cast<milliseconds>(BootClock::now() - requested_at).count();
     LogInfo(kPart, "topic=" + topic_ + " end=" + ToString(end_) + " read=failed ms=" +
                        std::to_string(lasted) + " reason=\"" + ToString(batch.error()) + "\".");
-    OnReadError(batch.error());
+    OnReadError(requested_at, batch.error());
     return;
   }
   if (batch.value().era_ < newest_era_) {
-    ScheduleRetry(MakeError(Errc::kUnavailable, "read records", {},
+    ScheduleRetry(requested_at,
+                  MakeError(Errc::kUnavailable, "read records", {},
                             "era " + std::to_string(batch.value().era_) + " is over"));
     return;
   }
   consecutive_failures_ = 0;
+  RecordAnswerTime(std::chrono::duration_cast<milliseconds>(BootClock::now() - requested_at) -
+                   wait_);
   SetReached(true, {});
   OnEra(batch.value());
   // The records of another history don't follow those that are known, whatever their offsets.
@@ -184,9 +196,10 @@
   ReadNext(complete ? read_schedule_.wait_timeout_ : milliseconds(0));
 }
 
-void TopicFollower::OnReadError(const Error& error) {
+void TopicFollower::OnReadError(BootTime requested_at, const Error& error) {
   if (error.code_ != make_error_code(Errc::kTruncated)) {
-    ScheduleRetry(error);
+    is_slow_ = is_slow_ || error.code_ == make_error_code(Errc::kTimedOut);
+    ScheduleRetry(requested_at, error);
     return;
   }
   LogInfo(kPart, "topic=" + topic_ + " offset=" + ToString(ReadPosition()) +
@@ -250,12 +263,22 @@
   });
 }
 
-void TopicFollower::ScheduleRetry(const Error& error) {
+ReadLimits TopicFollower::Limits(milliseconds wait) const {
+  return {wait, is_slow_ ? kSlowStallTimeout : kStallTimeout};
+}
+
+void TopicFollower::RecordAnswerTime(milliseconds beyond_wait) {
+  is_slow_ = is_slow_ && beyond_wait >= kStallTimeout;
+}
+
+// The time that a read took before it failed counts as part of the backoff.
+void TopicFollower::ScheduleRetry(BootTime requested_at, const Error& error) {
   SetReached(false, ToString(error));
-  const milliseconds delay =
+  const milliseconds backoff =
       std::min(kMaxBackoff, kInitialBackoff * (1 << std::min(consecutive_failures_, 4)));
+  const auto lasted = std::chrono::duration_cast<milliseconds>(BootClock::now() - requested_at);
   ++consecutive_failures_;
-  ScheduleRead(delay);
+  ScheduleRead(std::max(milliseconds(0), backoff - lasted));
 }
 
 void TopicFollower::SetReached(bool reached, std::string_view reason) {
--- a/Services/sassafrasbay/router/topic_follower.h
+++ b/Services/sassafrasbay/router/topic_follower.h
@@ -111,13 +111,17 @@
   void ContinueReading(milliseconds wait);
   void OnBatch(std::uint64_t read_number, BootTime requested_at, Result<RecordBatch> batch,
                bool newest);
-  void OnReadError(const Error& error);
+  void OnReadError(BootTime requested_at, const Error& error);
   void OnEra(const RecordBatch& batch);
   /// Position from which the next records are read.
   const TopicPosition& ReadPosition() const { return candidate_ ? candidate_->end_ : end_; }
   void TakeNewest(const RecordBatch& batch);
   void TakeNext(const RecordBatch& batch);
-  void ScheduleRetry(const Error& error);
+  /// Limits of the next read, which a slow store has more time to answer.
+  ReadLimits Limits(milliseconds wait) const;
+  /// Takes over how long the store took to answer a read, beyond the wait that it was asked for.
+  void RecordAnswerTime(milliseconds beyond_wait);
+  void ScheduleRetry(BootTime requested_at, const Error& error);
   void SetReached(bool reached, std::string_view reason);
 
   ReactorLoop& loop_;
@@ -133,6 +137,8 @@
   bool needs_newest_ = true;  ///< The records at ReadPosition() can't be read from the store.
   bool is_store_reachable_ = false;
   int consecutive_failures_ = 0;
+  milliseconds wait_{0};  ///< Of the newest read.
+  bool is_slow_ = false;  ///< A read has timed out since the store last answered in time.
   ReactorLoop::TimerId timer_ = 0;
   ReactorLoop::TimerId delayed_read_timer_ = 0;
   /// A read without a long poll is in progress.
--- a/Tests/Services/model_store.h
+++ b/Tests/Services/model_store.h
@@ -22,9 +22,10 @@
   void Append(std::string_view topic, std::span<const KeyedRecord> records,
               std::optional<std::uint64_t> at,
               std::function<void(Result<TopicPosition>)> callback) override;
-  void Read(std::string_view, std::uint64_t, milliseconds,
+  void Read(std::string_view, std::uint64_t, const ReadLimits&,
             std::function<void(Result<RecordBatch>)>) override {}
-  void ReadNewestRecords(std::string_view, std::function<void(Result<RecordBatch>)>) override {}
+  void ReadNewestRecords(std::string_view, milliseconds,
+                         std::function<void(Result<RecordBatch>)>) override {}
 
   /// Replaces the records by those of that time, in a new era.
   void Restore(BootTime copied_at);
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -39,11 +39,12 @@
 
   Result<RecordBatch> Read(std::uint64_t from) {
     return Wait<RecordBatch>(
-        [&](auto done) { store_.Read("keyed.t", from, milliseconds(50), done); });
+        [&](auto done) { store_.Read("keyed.t", from, {milliseconds(50)}, done); });
   }
 
   Result<RecordBatch> ReadNewestRecords() {
-    return Wait<RecordBatch>([&](auto done) { store_.ReadNewestRecords("keyed.t", done); });
+    return Wait<RecordBatch>(
+        [&](auto done) { store_.ReadNewestRecords("keyed.t", milliseconds(700), done); });
   }
 
   ReactorLoop loop_;
