LibTransport: Limit reads of the log by progress instead of by their duration

A node behind a slow link could never catch up. It now ends when nothing has arrived for 2 s.

ABatchThatArrivesSlowlyIsRead (2.6 MB at 1 MB/s) failed before and passes now.

--- a/Libraries/LibTransport/log_client.cc
+++ b/Libraries/LibTransport/log_client.cc
@@ -13,8 +13,10 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
-// Added to the time that the log may wait for a record. Allows for the transfer of the batch.
-constexpr milliseconds kReadTimeoutMargin{2000};
+// Time without a byte of an answer, beyond the time that the log may wait for a record.
+constexpr milliseconds kReadStallTimeout{2000};
+// Limit on a read that makes progress: the largest batch over a link of 10 Mbit/s.
+constexpr milliseconds kMaxReadTime{60'000};
 constexpr std::size_t kMaxBatchBytes = 64U << 20U;
 
 HttpCall MakeCall(const std::string& url, std::string method, std::string path,
@@ -169,7 +171,8 @@
   const std::string path = "/records?from=" + std::to_string(from) +
                            "&wait_ms=" + std::to_string(wait.count()) +
                            "&max=" + std::to_string(max_records);
-  HttpCall call = MakeCall(url_, "GET", path, wait + kReadTimeoutMargin);
+  HttpCall call = MakeCall(url_, "GET", path, wait + kMaxReadTime);
+  call.stall_timeout_ = wait + kReadStallTimeout;
   call.max_response_bytes_ = kMaxBatchBytes;
   client_.Start(std::move(call),
                 [callback = std::move(callback), from, url = url_](HttpResult result) {
--- a/Tests/LibTransport/test_log_client.cc
+++ b/Tests/LibTransport/test_log_client.cc
@@ -1,13 +1,16 @@
 #define BOOST_TEST_MODULE LogClient
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "LibTransport/http_server.h"
 #include "LibTransport/log_client.h"
 #include "LibTransport/loopback.h"
+#include "LibTransport/stub_upstream.h"
 
 namespace sassafrasbay {
 namespace {
@@ -102,6 +105,35 @@
   BOOST_TEST(offsets->value().next_ == 12U);
 }
 
+// Guards against a batch that is never read: it takes the link longer than the time after which a
+// silent log counts as lost.
+BOOST_AUTO_TEST_CASE(ABatchThatArrivesSlowlyIsRead) {
+  constexpr std::size_t kRecordBytes = 2'600'000;
+  constexpr std::size_t kBytesPerMillisecond = 1000;
+  StubLog log;
+  StubUpstream server(log.loop_);
+  const std::string body = ToCbor(
+      {{"first", 3U}, {"next", 9U}, {"records", {MakeRecord(5, std::string(kRecordBytes, 'x'))}}});
+  server.answer_ = [&](int, const std::string&) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  };
+  std::size_t sent = 0;
+  bool is_first = true;
+  server.endless_text_ = body;
+  server.is_endless_ = [&] {
+    if (std::exchange(is_first, false)) {
+      return true;  // Asked before the first part is due.
+    }
+    server.endless_text_ = body.substr(std::min(sent, body.size()), kBytesPerMillisecond);
+    sent += kBytesPerMillisecond;
+    return !server.endless_text_.empty();
+  };
+  log.log_.emplace(log.client_, "http://" + server.Address());
+  const Result<LogBatch> batch = log.Read(5);
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch.value().records_[0].second.size() == kRecordBytes);
+}
+
 // Guards against a reader that skips truncated records unnoticed.
 BOOST_AUTO_TEST_CASE(TruncationCarriesTheFirstOffset) {
   StubLog log;
