LibControl: Leave the stall timeout of a read to its caller

ReadLimits repeated TopicFollower's limit of 700 ms as a default that only a test used. No behaviour changes. TestStoreClient and two cases of TestSlowLinks pass; lint of the three sources is clean.

--- a/Libraries/LibControl/record_store.h
+++ b/Libraries/LibControl/record_store.h
@@ -31,7 +31,7 @@
 struct ReadLimits {
   milliseconds wait_{0};  ///< Time that the store waits for the first record.
   /// Further time without a byte of the answer after which the read has failed.
-  milliseconds stall_timeout_{700};
+  milliseconds stall_timeout_{0};
 };
 
 /// The platform's durable store. A topic consists of keyed records; the newest record of each key
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -38,8 +38,9 @@
   }
 
   Result<RecordBatch> Read(std::uint64_t from) {
-    return Wait<RecordBatch>(
-        [&](auto done) { store_.Read("keyed.t", from, {milliseconds(50)}, done); });
+    return Wait<RecordBatch>([&](auto done) {
+      store_.Read("keyed.t", from, {milliseconds(50), milliseconds(700)}, done);
+    });
   }
 
   Result<RecordBatch> ReadNewestRecords() {
